Thin whole path: daemon, command line, stand-ins, demo

Cause: nothing existed. Change: workspace of state, coordination, protocol, transport; pollenfalld and pollenfall; stand-ins for platform, minion, worker; scripts/demo.sh. Ruled out: store leases per daemon or worker (renewals cost more than the service has); a claim on every request (only those with an idempotency key). Conclusion: the path stands; what must always hold is not proved yet.

--- /dev/null
+++ b/crates/cli/src/job.rs
@@ -0,0 +1,67 @@
+//! Submitters' commands.
+
+use std::thread;
+use std::time::Duration;
+
+use eyre::Result;
+use protocol::JobBody;
+use serde_json::Value;
+use state::{Cores, JobId, JobSpec, Mebibytes, Millis};
+
+use crate::arguments::JobAction;
+use crate::client::Client;
+use crate::{Ending, render};
+
+/// How often a watched job is looked up.
+const WATCH_PERIOD: Duration = Duration::from_millis(500);
+
+pub(crate) fn run(client: &Client, action: &JobAction) -> Result<Ending> {
+    match action {
+        JobAction::Submit { .. } => submit(client, action),
+        JobAction::Show { job } => show(client, "GET", job),
+        JobAction::Cancel { job } => show(client, "DELETE", job),
+        JobAction::Watch { job } => watch(client, job),
+    }
+}
+
+fn submit(client: &Client, action: &JobAction) -> Result<Ending> {
+    let JobAction::Submit { pool, cores, memory, accelerators, run_ms, job, command } = action
+    else {
+        return Ok(Ending::Usage);
+    };
+    let spec = JobSpec {
+        pool: pool.clone(),
+        cores: Cores(*cores),
+        memory: Mebibytes(*memory),
+        accelerators: *accelerators,
+        run_time: Millis(*run_ms),
+        command: command.as_str().into(),
+    };
+    let body = serde_json::to_value(JobBody { job: job.clone(), spec })?;
+    client.call_and_show("POST", "jobs", &body, render::job)
+}
+
+fn show(client: &Client, method: &str, job: &JobId) -> Result<Ending> {
+    client.call_and_show(method, &format!("jobs/{job}"), &Value::Null, render::job)
+}
+
+fn watch(client: &Client, job: &JobId) -> Result<Ending> {
+    let mut last = Value::Null;
+    loop {
+        let reply = client.call("GET", &format!("jobs/{job}"), &Value::Null)?;
+        let state = reply.body["record"]["state"].clone();
+        if reply.status != 200 {
+            client.show(&reply, render::job);
+            return Ok(reply.ending());
+        }
+        if state != last {
+            client.show(&reply, render::job);
+            last = state.clone();
+        }
+        match state["state"].as_str() {
+            Some("done") => return Ok(Ending::Done),
+            Some("failed" | "impossible" | "cancelled") => return Ok(Ending::Refused),
+            _ => thread::sleep(WATCH_PERIOD),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/render.rs
@@ -0,0 +1,94 @@
+//! Text for people; `--json` bypasses all of it.
+
+use std::fmt::Write;
+
+use serde_json::Value;
+
+/// Any document, indented.
+pub(crate) fn pretty(body: &Value) -> String {
+    let text = serde_json::to_string_pretty(body).unwrap_or_default();
+    format!("{text}\n")
+}
+
+/// The answer to a change.
+pub(crate) fn change(body: &Value) -> String {
+    match body["state"].as_str() {
+        Some("in-force") => format!("in force everywhere, revision {}\n", body["revision"]),
+        Some(state) => format!("{state}\n"),
+        None => pretty(body),
+    }
+}
+
+/// Anything but success.
+pub(crate) fn trouble(body: &Value) -> String {
+    let mut text = String::new();
+    if body["state"] == "committed" {
+        let _ = writeln!(text, "committed, not yet in force; waiting for {}", body["waiting"]);
+    } else if let Some(reasons) = body["reasons"].as_array() {
+        for reason in reasons {
+            let _ = writeln!(text, "refused: {}", plain(reason));
+        }
+    } else if let Some(outcome) = body["outcome"].as_str() {
+        let _ = writeln!(text, "{outcome}: {}", plain(&body["reason"]));
+    } else {
+        return pretty(body);
+    }
+    text
+}
+
+/// One job.
+pub(crate) fn job(body: &Value) -> String {
+    let state = &body["record"]["state"];
+    let mut text = format!("{} {}", plain(&body["job"]), plain(&state["state"]));
+    for name in ["worker", "reason"] {
+        if !state[name].is_null() {
+            let _ = write!(text, " {name} {}", plain(&state[name]));
+        }
+    }
+    let _ = writeln!(text, " attempt {}", body["record"]["attempt"]);
+    text
+}
+
+/// A daemon's view.
+pub(crate) fn status(body: &Value) -> String {
+    let mut text = String::new();
+    let _ = writeln!(text, "daemon {} in {}", plain(&body["daemon"]), plain(&body["data_centre"]));
+    for name in
+        ["takes_work", "config_revision", "members", "heard", "out_data_centres", "out_pools"]
+    {
+        let _ = writeln!(text, "{:18} {}", name.replace('_', " "), plain(&body[name]));
+    }
+    table(
+        &mut text,
+        &body["vms"],
+        &["vm", "pool", "data_centre", "state", "presence", "slots_in_use"],
+    );
+    table(&mut text, &body["teams"], &["team", "limit", "given", "placed", "in_use_here"]);
+    text
+}
+
+fn table(text: &mut String, rows: &Value, columns: &[&str]) {
+    let header: Vec<String> = columns.iter().map(|name| format!("{name:16}")).collect();
+    let _ = writeln!(text, "\n{}", header.join(" ").trim_end());
+    for row in rows.as_array().into_iter().flatten() {
+        let cells: Vec<String> =
+            columns.iter().map(|name| format!("{:16}", plain(&row[*name]))).collect();
+        let _ = writeln!(text, "{}", cells.join(" ").trim_end());
+    }
+}
+
+/// The measures, one line each.
+pub(crate) fn measures(body: &Value) -> String {
+    let mut text = String::new();
+    for (name, value) in body.as_object().into_iter().flatten() {
+        let _ = writeln!(text, "{:18} {}", name.replace('_', " "), plain(value));
+    }
+    text
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/core/jobs.rs
@@ -0,0 +1,291 @@
+//! Placement of jobs. The daemon with the duty for a pool places all teams'
+//! jobs on that pool's workers; each placement is one compare-and-swap of the
+//! team's document, made before the worker hears of it.
+
+use std::collections::BTreeMap;
+
+use state::{
+    Cores, JobId, JobRecord, JobSpec, JobState, Mebibytes, Millis, PoolId, Priority, TeamId, VmId,
+    VmListing, VmRole,
+};
+
+use super::Core;
+use crate::document::Finished;
+use crate::event::Decision;
+use crate::mutate::team::{AttemptEnd, TeamMutation, TeamResult};
+use crate::timing::TASK_FENCE;
+
+/// How often placement runs.
+const JOBS_PERIOD: Millis = Millis(200);
+/// Placements under way at one time for one pool.
+const MOST_PLACEMENTS: usize = 64;
+
+/// Free room of one worker, as the placer counts it.
+#[derive(Debug, Clone, Copy)]
+struct WorkerRoom {
+    cores: u32,
+    memory: u32,
+    accelerators: u32,
+}
+
+impl WorkerRoom {
+    fn of(listing: &VmListing) -> Self {
+        let Mebibytes(memory) = listing.memory;
+        Self { cores: listing.cores.0, memory, accelerators: listing.accelerators }
+    }
+
+    fn fits(&self, spec: &JobSpec) -> bool {
+        spec.cores <= Cores(self.cores)
+            && spec.memory <= Mebibytes(self.memory)
+            && spec.accelerators <= self.accelerators
+    }
+
+    fn take(&mut self, spec: &JobSpec) {
+        self.cores = self.cores.saturating_sub(spec.cores.0);
+        self.memory = self.memory.saturating_sub(spec.memory.0);
+        self.accelerators = self.accelerators.saturating_sub(spec.accelerators);
+    }
+}
+
+/// One waiting job, with what orders it.
+struct Candidate {
+    team: TeamId,
+    job: JobId,
+    attempt: u32,
+    spec: JobSpec,
+    order: (Priority, u64),
+}
+
+impl Core {
+    pub(super) fn run_jobs(&mut self) {
+        if self.now() < self.jobs_due {
+            return;
+        }
+        self.jobs_due = self.now() + JOBS_PERIOD;
+        if self.work_permit().is_err() || !self.listing_known {
+            return;
+        }
+        let pools: Vec<PoolId> = self.config.doc().pools.keys().cloned().collect();
+        for pool in pools {
+            if self.holds(&format!("pool/{pool}")) {
+                self.watch_placed(&pool);
+                self.place_jobs(&pool);
+            }
+        }
+    }
+
+    fn jobs_of(&self, pool: &PoolId) -> impl Iterator<Item = (&TeamId, &JobId, &JobRecord)> {
+        let all = self.teams.iter().flat_map(|(team, writer)| {
+            writer.doc().jobs.iter().map(move |(job, record)| (team, job, record))
+        });
+        let pool = pool.clone();
+        all.filter(move |(_, _, record)| record.spec.pool == pool)
+    }
+
+    /// Whether any job is placed on `vm` for all that this daemon knows.
+    pub(super) fn has_placed_jobs(&self, vm: &VmId) -> bool {
+        let jobs = self.teams.values().flat_map(|writer| writer.doc().jobs.values());
+        let mut workers = jobs.filter_map(|job| match &job.state {
+            JobState::Placed { worker, .. } => Some(worker),
+            _ => None,
+        });
+        workers.any(|worker| worker == vm)
+    }
+
+    fn workers_of(&self, pool: &PoolId) -> Vec<VmListing> {
+        let usable = self.listing.values().filter(|listing| listing.role == VmRole::Worker);
+        usable.filter(|listing| self.is_usable(pool, &listing.vm)).cloned().collect()
+    }
+
+    fn place_jobs(&mut self, pool: &PoolId) {
+        let mut waiting = self.waiting_jobs(pool);
+        if waiting.is_empty() {
+            return;
+        }
+        waiting.sort_by(|a, b| a.order.cmp(&b.order));
+        let workers = self.workers_of(pool);
+        let mut rooms = self.rooms(&workers);
+        let mut placed = 0;
+        for candidate in waiting {
+            if self.give_up_impossible(pool, &candidate) || placed >= MOST_PLACEMENTS {
+                continue;
+            }
+            if let Some(worker) = best_worker(&rooms, &candidate.spec) {
+                rooms.get_mut(&worker).expect("chosen from it").take(&candidate.spec);
+                placed += 1;
+                self.place(pool, candidate, &worker);
+            }
+        }
+    }
+
+    /// Jobs that wait, of teams that have room and no change under way.
+    fn waiting_jobs(&self, pool: &PoolId) -> Vec<Candidate> {
+        let config = self.config.doc();
+        let queued = self.jobs_of(pool).filter(|(team, _, record)| {
+            record.state == JobState::Queued && config.may_use(team, &record.spec.pool)
+        });
+        let mut left: BTreeMap<&TeamId, u32> = BTreeMap::new();
+        let mut found = Vec::new();
+        for (team, job, record) in queued {
+            let writer = &self.teams[team];
+            if writer.pending().next().is_some() {
+                continue;
+            }
+            let limit = config.teams.get(team).map_or(0, |plan| plan.limit);
+            let doc = writer.doc();
+            let room = limit.min(doc.holdings.capacity).saturating_sub(doc.used());
+            let left = left.entry(team).or_insert(room);
+            if *left == 0 {
+                continue;
+            }
+            *left -= 1;
+            found.push(Candidate {
+                team: team.clone(),
+                job: job.clone(),
+                attempt: record.attempt + 1,
+                spec: record.spec.clone(),
+                order: (config.priority(team), record.submitted_ms),
+            });
+        }
+        found
+    }
+
+    /// Free room by worker: its size less the jobs that are placed on it.
+    fn rooms(&self, workers: &[VmListing]) -> BTreeMap<VmId, WorkerRoom> {
+        let usable = workers.iter().filter(|listing| !self.is_aside(&listing.vm));
+        let mut rooms: BTreeMap<VmId, WorkerRoom> =
+            usable.map(|listing| (listing.vm.clone(), WorkerRoom::of(listing))).collect();
+        for job in self.teams.values().flat_map(|writer| writer.doc().jobs.values()) {
+            if let JobState::Placed { worker, .. } = &job.state
+                && let Some(room) = rooms.get_mut(worker)
+            {
+                room.take(&job.spec);
+            }
+        }
+        rooms
+    }
+
+    /// Gives up a job that is larger than every worker of its pool.
+    fn give_up_impossible(&mut self, pool: &PoolId, candidate: &Candidate) -> bool {
+        let all = self.listing.values().filter(|listing| listing.role == VmRole::Worker);
+        let records = &self.fleet.doc().vms;
+        let of_pool = all.filter(|row| records.get(&row.vm).is_some_and(|vm| vm.pool == *pool));
+        let mut sizes = of_pool.map(WorkerRoom::of).peekable();
+        if sizes.peek().is_none() || sizes.any(|size| size.fits(&candidate.spec)) {
+            return false;
+        }
+        let reason: Box<str> = format!("no worker of pool {pool} is large enough").into();
+        self.log_job(&candidate.team, &candidate.job, pool, "impossible", &reason);
+        let wall_ms = self.clock.wall_ms;
+        let job = candidate.job.clone();
+        self.submit_team(&candidate.team, TeamMutation::GiveUp { job, reason, wall_ms });
+        true
+    }
+
+    fn place(&mut self, pool: &PoolId, candidate: Candidate, worker: &VmId) {
+        let boot = self.listing.get(worker).map_or(0, |listing| listing.boot);
+        let reason = format!("attempt {}: most free cores", candidate.attempt);
+        self.log_job(&candidate.team, &candidate.job, pool, worker.as_str(), &reason);
+        self.submit_team(
+            &candidate.team,
+            TeamMutation::Place {
+                job: candidate.job,
+                attempt: candidate.attempt,
+                worker: worker.clone(),
+                boot,
+            },
+        );
+    }
+
+    /// Follows the jobs that are placed on workers of `pool`.
+    fn watch_placed(&mut self, pool: &PoolId) {
+        let placed = self.jobs_of(pool).filter_map(|(team, job, record)| match &record.state {
+            JobState::Placed { worker, boot } => Some(PlacedJob {
+                team: team.clone(),
+                job: job.clone(),
+                attempt: record.attempt,
+                spec: record.spec.clone(),
+                worker: worker.clone(),
+                boot: *boot,
+                cancel: record.cancel,
+            }),
+            _ => None,
+        });
+        let placed: Vec<PlacedJob> = placed.collect();
+        for job in placed {
+            self.follow(&job);
+        }
+    }
+
+    fn follow(&mut self, placed: &PlacedJob) {
+        let boot_now = self.listing.get(&placed.worker).map(|listing| listing.boot);
+        let silent = self.worker_silence(&placed.worker);
+        let is_gone = boot_now.is_none() || boot_now.is_some_and(|boot| boot > placed.boot);
+        if is_gone || silent >= TASK_FENCE {
+            self.forget_worker(&placed.worker);
+            return self.end_job(placed, AttemptEnd::Lost);
+        }
+        self.poll_worker(&placed.worker);
+        self.tend_task(placed);
+    }
+
+    pub(super) fn end_job(&mut self, placed: &PlacedJob, end: AttemptEnd) {
+        let choice = match &end {
+            AttemptEnd::Done => "done",
+            AttemptEnd::Failed(_) => "failed",
+            AttemptEnd::Lost => "lost",
+        };
+        let reason = match &end {
+            AttemptEnd::Failed(reason) => reason.clone(),
+            _ => format!("attempt {} on {}", placed.attempt, placed.worker).into(),
+        };
+        let pool = placed.spec.pool.clone();
+        self.log_job(&placed.team, &placed.job, &pool, choice, &reason);
+        let wall_ms = self.clock.wall_ms;
+        let mutation =
+            TeamMutation::End { job: placed.job.clone(), attempt: placed.attempt, end, wall_ms };
+        self.submit_team(&placed.team, mutation);
+    }
+
+    pub(super) fn team_finished(
+        &mut self,
+        team: &TeamId,
+        finished: Vec<Finished<TeamMutation, TeamResult>>,
+    ) {
+        for Finished { mutation, result } in finished {
+            let ended_well = matches!(&mutation, TeamMutation::End { end: AttemptEnd::Done, .. });
+            if ended_well && result == TeamResult::Applied {
+                self.measures.jobs_done += 1;
+            }
+            self.job_change_finished(team, &mutation, &result);
+        }
+    }
+
+    fn log_job(&mut self, team: &TeamId, job: &JobId, pool: &PoolId, choice: &str, reason: &str) {
+        self.log(Decision {
+            subject: "job",
+            id: job.as_str().into(),
+            team: Some(team.clone()),
+            pool: Some(pool.clone()),
+            choice: choice.into(),
+            reason: reason.into(),
+        });
+    }
+}
+
+/// A job with the worker that it is placed on.
+#[derive(Debug, Clone)]
+pub(super) struct PlacedJob {
+    pub(super) team: TeamId,
+    pub(super) job: JobId,
+    pub(super) attempt: u32,
+    pub(super) spec: JobSpec,
+    pub(super) worker: VmId,
+    pub(super) boot: u64,
+    pub(super) cancel: bool,
+}
+
+fn best_worker(rooms: &BTreeMap<VmId, WorkerRoom>, spec: &JobSpec) -> Option<VmId> {
+    let fitting = rooms.iter().filter(|(_, room)| room.fits(spec));
+    fitting.max_by_key(|(_, room)| room.cores).map(|(vm, _)| vm.clone())
+}
--- /dev/null
+++ b/crates/coordination/src/core/peers.rs
@@ -0,0 +1,136 @@
+//! Heartbeats, and the configuration between daemons.
+
+use state::{DaemonId, DaemonRef, Incarnation, VmId, VmState};
+
+use super::Core;
+use super::calls::CallPhase;
+use crate::event::Effect;
+use crate::frame::{Frame, FrameBody, PeerNote};
+use crate::timing::HEARTBEAT;
+
+impl Core {
+    /// Sends every peer a frame when that is due.
+    pub(super) fn send_beats(&mut self) {
+        if self.now() < self.beat_due {
+            return;
+        }
+        self.beat_due = self.now() + HEARTBEAT;
+        self.beat_now();
+    }
+
+    /// Sends every peer a frame at once, because something changed.
+    pub(super) fn beat_now(&mut self) {
+        let note = self.note();
+        for peer in self.peers() {
+            self.send_frame(&peer, note.clone(), FrameBody::Beat);
+        }
+    }
+
+    pub(super) fn peers(&self) -> Vec<DaemonRef> {
+        let members = self.members.doc().members.iter();
+        let others = members.filter(|(daemon, _)| **daemon != self.me().daemon);
+        others
+            .map(|(daemon, record)| DaemonRef {
+                daemon: daemon.clone(),
+                incarnation: record.incarnation,
+            })
+            .collect()
+    }
+
+    fn note(&self) -> PeerNote {
+        PeerNote {
+            config: self.config.revision(),
+            members: self.members.revision(),
+            fleet: self.fleet.revision(),
+            busy: self.busy_vms(),
+            short: self.shortages(),
+            service: self.shares.told(self.now()),
+        }
+    }
+
+    /// VMs in a planned stop on which this daemon has work, or may have.
+    pub(super) fn busy_vms(&self) -> Vec<VmId> {
+        let vms = self.fleet.doc().vms.iter();
+        let draining = vms.filter(|(_, record)| matches!(record.state, VmState::Draining { .. }));
+        draining.map(|(vm, _)| vm.clone()).filter(|vm| self.has_work_on(vm)).collect()
+    }
+
+    fn has_work_on(&self, vm: &VmId) -> bool {
+        let sent =
+            |phase: &CallPhase| matches!(phase, CallPhase::Sent { vm: sent, .. } if sent == vm);
+        let calls = self.calls.iter().any(|(_, call)| sent(&call.phase));
+        calls || self.lingering.iter().any(|call| call.vm == *vm) || self.has_tasks_on(vm)
+    }
+
+    fn send_frame(&mut self, peer: &DaemonRef, note: PeerNote, body: FrameBody) {
+        let Some(record) = self.members.doc().members.get(&peer.daemon) else { return };
+        let address = record.peer_address.clone();
+        let frame = Frame {
+            from: self.me().clone(),
+            to: peer.incarnation,
+            sent: self.now(),
+            echo: self.contacts.echo_for(peer),
+            note,
+            body,
+        };
+        self.measures.frames += 1;
+        self.emit(Effect::Frame { to: peer.daemon.clone(), address, frame: Box::new(frame) });
+    }
+
+    /// Sends the configuration to every peer, right after it was committed.
+    pub(super) fn push_config(&mut self) {
+        for peer in self.peers() {
+            self.send_config(&peer);
+        }
+    }
+
+    fn send_config(&mut self, peer: &DaemonRef) {
+        let value = serde_json::to_string(self.config.doc()).expect("a document is valid JSON");
+        let body = FrameBody::Config { revision: self.config.revision(), value: value.into() };
+        let note = self.note();
+        self.send_frame(peer, note, body);
+    }
+
+    pub(super) fn frame_came(&mut self, frame: &Frame) {
+        let is_member = self.members.doc().has(&frame.from.daemon, frame.from.incarnation);
+        if !is_member || !self.is_meant_for_me(frame.to) {
+            return;
+        }
+        let now = self.now();
+        if self.contacts.heard(now, frame) {
+            self.shares.peer_said(&frame.from.daemon, &frame.note.service, now);
+        }
+        match &frame.body {
+            FrameBody::Beat => {}
+            FrameBody::WantConfig => self.send_config(&frame.from),
+            FrameBody::Config { revision, value } => self.learn_config(*revision, value),
+        }
+        if frame.note.config > self.config.revision() {
+            let note = self.note();
+            self.send_frame(&frame.from, note, FrameBody::WantConfig);
+        }
+    }
+
+    fn is_meant_for_me(&self, run: Incarnation) -> bool {
+        run == self.me().incarnation
+    }
+
+    /// Whether every other member has the VM records of `revision` or newer and
+    /// has nothing on `vm`; the names of those that have not.
+    pub(super) fn members_not_clear_of(
+        &self,
+        vm: &VmId,
+        revision: state::Revision,
+    ) -> Vec<DaemonId> {
+        let members = self.members.doc().members.iter();
+        let others = members.filter(|(daemon, _)| **daemon != self.me().daemon);
+        let unclear = others.filter(|(daemon, record)| {
+            let peer = DaemonRef { daemon: (*daemon).clone(), incarnation: record.incarnation };
+            !self
+                .contacts
+                .run(&peer)
+                .is_some_and(|run| run.note.fleet >= revision && !run.note.busy.contains(vm))
+        });
+        unclear.map(|(daemon, _)| daemon.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/mutate/slot.rs
@@ -0,0 +1,52 @@
+//! Changes of the daemons' parts of minions' slots.
+
+use std::collections::BTreeSet;
+
+use state::{DaemonRef, Holdings, SlotCount, SlotDoc, VmId};
+
+/// A change of a pool's slots.
+#[derive(Debug, Clone)]
+pub enum SlotMutation {
+    /// Sets a daemon's part of a minion's slots.
+    SetPart {
+        /// The minion.
+        vm: VmId,
+        /// Slots that it has.
+        slots: SlotCount,
+        /// Whose part.
+        holder: DaemonRef,
+        /// The part to have.
+        wanted: u32,
+    },
+    /// Frees all parts of runs that have ended for certain.
+    DropHolders {
+        /// The ended runs.
+        holders: Vec<DaemonRef>,
+    },
+    /// Forgets minions that have left the pool.
+    Keep {
+        /// Minions that the platform lists.
+        listed: BTreeSet<VmId>,
+    },
+}
+
+/// Applies one change.
+pub fn apply(doc: &mut SlotDoc, mutation: &SlotMutation) {
+    match mutation {
+        SlotMutation::SetPart { vm, slots, holder, wanted } => {
+            let holdings = doc.minions.entry(vm.clone()).or_default();
+            holdings.capacity = slots.0;
+            holdings.set_part(holder, *wanted, 0);
+        }
+        SlotMutation::DropHolders { holders } => {
+            for holdings in doc.minions.values_mut() {
+                drop_holders(holdings, holders);
+            }
+        }
+        SlotMutation::Keep { listed } => doc.minions.retain(|vm, _| listed.contains(vm)),
+    }
+}
+
+pub(super) fn drop_holders(holdings: &mut Holdings, holders: &[DaemonRef]) {
+    holdings.parts.retain(|holder, _| !holders.contains(holder));
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,24 @@
+//! What goes over the wire: outcomes to callers, the control interface, the
+//! platform's and the workers' interfaces, and frames between daemons.
+//!
+//! This crate only turns values into bytes and back. The forms towards callers
+//! and operators are documented in `docs/INTERFACE.md`.
+
+mod control;
+mod outcome;
+mod peer;
+mod platform;
+mod worker;
+
+pub use control::{ChangeBody, ControlReply, JobBody, PathError, control_reply, control_request};
+pub use outcome::{
+    HEADER_DEADLINE, HEADER_IDEMPOTENCY, HEADER_OUTCOME, HEADER_REQUEST, Outcome, OutcomeBody,
+    outcome_of,
+};
+pub use peer::{FrameError, decode_frame, encode_frame};
+pub use platform::{
+    ChangesBody, PlatformCall, PutBody, RebootBody, VmsBody, platform_answer, platform_call,
+};
+pub use worker::{
+    PollBody, StartBody, StopBody, TasksBody, WorkerCall, worker_answer, worker_call,
+};
--- /dev/null
+++ b/crates/state/src/quantity.rs
@@ -0,0 +1,69 @@
+//! Sizes, times and revisions, each a type of its own with its unit.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::ops::{Add, Sub};
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! quantity {
+    ($($(#[$doc:meta])* $name:ident($inner:ty), $unit:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default)]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{}", $unit), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIntError> {
+                text.strip_suffix($unit).unwrap_or(text).parse().map(Self)
+            }
+        }
+    )*};
+}
+
+quantity! {
+    /// A duration in milliseconds.
+    Millis(u64), "ms";
+    /// A point of a process's own monotonic clock, in milliseconds.
+    Moment(u64), "ms";
+    /// A document's version in the platform's key-value service; 0 is "absent".
+    Revision(u64), "";
+    /// Processor cores.
+    Cores(u32), "";
+    /// Memory in MiB.
+    Mebibytes(u32), "MiB";
+    /// Requests that a minion runs at one time.
+    SlotCount(u32), "";
+}
+
+impl Add<Millis> for Moment {
+    type Output = Moment;
+
+    fn add(self, span: Millis) -> Moment {
+        Moment(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Moment> for Moment {
+    type Output = Millis;
+
+    fn sub(self, earlier: Moment) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Millis {
+    /// The same span with `percent` added, for clocks that run at other rates.
+    pub fn stretched(self, percent: u64) -> Millis {
+        Millis(self.0 + self.0 * percent / 100)
+    }
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs every test. The verdict is the same on every run: seeds are fixed and
+# time is virtual.
+set -eu
+cd "$(dirname "$0")/.."
+cargo test --workspace --quiet
