--- a/crates/coordination/src/core/control.rs
+++ b/crates/coordination/src/core/control.rs
@@ -8,7 +8,7 @@
 use super::Core;
 use super::calls::refusal;
 use crate::contact::ChangeWait;
-use crate::document::Finished;
+use crate::document::{Finished, Withdrawal};
 use crate::event::{
     ControlAnswer, ControlRequest, Decision, Refusal, RefusalKind, Token, VmAction,
 };
@@ -180,13 +180,38 @@
             return is_late;
         }
         if is_late {
-            let reason =
-                "the platform's answer did not come in time; ask again under the same name";
-            self.answer(pending.token, ControlAnswer::Unknown { reason: reason.into() });
+            let answer = self.withdraw(&pending.wait);
+            self.answer(pending.token, answer);
         }
         is_late
     }
 
+    /// Gives up a change that was not written in time, so that it cannot undo a
+    /// later one.
+    fn withdraw(&mut self, wait: &ControlWait) -> ControlAnswer {
+        let fate = match wait {
+            ControlWait::Commit(change) => {
+                self.config.withdraw(|mutation| mutation.change == *change)
+            }
+            ControlWait::Vm(vm) => self.fleet.withdraw(|mutation| mutation.vm() == vm),
+            ControlWait::Job(team, job) => self.team_writer(team).withdraw(|mutation| {
+                matches!(mutation, TeamMutation::Add { job: asked, .. }
+                    | TeamMutation::Cancel { job: asked, .. } if asked == job)
+            }),
+            ControlWait::Force { .. } | ControlWait::Look(..) => Withdrawal::NotWritten,
+        };
+        match fate {
+            Withdrawal::NotWritten => ControlAnswer::Refused(refusal(
+                RefusalKind::Unavailable,
+                "the platform did not answer in time; nothing was changed",
+            )),
+            Withdrawal::MayBeWritten => ControlAnswer::Unknown {
+                reason: "the platform's answer did not come in time; look before asking again"
+                    .into(),
+            },
+        }
+    }
+
     fn act_on_vm(&mut self, token: Token, vm: VmId, action: VmAction) {
         let record = self.fleet.doc().vms.get(&vm).cloned();
         let Some(record) = record else {
--- a/crates/coordination/src/core/documents.rs
+++ b/crates/coordination/src/core/documents.rs
@@ -3,8 +3,9 @@
 use state::{DaemonRef, MemberRecord, Millis, Moment, PoolId, Revision, TeamId, verify};
 
 use super::Core;
-use crate::document::DocumentWriter;
+use crate::document::{DocumentWriter, Finished};
 use crate::event::{PlatformAnswer, PlatformRequest, StoredValue};
+use crate::frame::LimitName;
 use crate::mutate::claim;
 use crate::mutate::member::MemberMutation;
 use crate::mutate::slot::{self, SlotMutation};
@@ -233,6 +234,7 @@
             DocRef::Claims(shard) => self.poll_claims(now, *shard),
         };
         if let Some(request) = request {
+            self.check_write(doc);
             self.call_platform(PlatformPurpose::Document(doc.clone()), request);
         }
     }
@@ -282,8 +284,9 @@
             }
             DocRef::Team(team) => self.team_answered(team, answer),
             DocRef::Slots(pool) => {
-                self.slot_writer(pool).answered(now, answer);
+                let finished = self.slot_writer(pool).answered(now, answer);
                 self.observe_slots(pool);
+                self.slots_finished(pool, &finished);
                 self.dispatch(pool);
             }
             DocRef::Claims(shard) => {
@@ -294,21 +297,47 @@
         self.dirty.insert(doc.clone());
     }
 
+    fn slots_finished(&mut self, pool: &PoolId, finished: &[Finished<SlotMutation, ()>]) {
+        let moved = finished.iter().filter_map(|change| match &change.mutation {
+            SlotMutation::MovePart { to, .. } => Some(to.clone()),
+            _ => None,
+        });
+        let receivers: std::collections::BTreeSet<DaemonRef> = moved.collect();
+        for to in receivers {
+            self.tell_moved(LimitName::Slots(pool.clone()), &to);
+        }
+    }
+
     fn team_answered(&mut self, team: &TeamId, answer: PlatformAnswer) {
         let now = self.now();
-        let before = self.team_writer(team).doc().clone();
         let finished = self.team_writer(team).answered(now, answer);
-        let found = verify::team(self.team_writer(team).doc(), Some(&before));
-        let is_news = self.team_writer(team).doc() != &before;
-        if is_news && before.holdings.capacity == self.teams[team].doc().holdings.capacity {
-            self.check(found);
-        }
         self.observe_team(team);
         self.team_finished(team, finished);
         self.show_looked_up(team);
         self.dispatch_all();
     }
 
+    /// Runs the verifier on a write before it is sent.
+    fn check_write(&mut self, doc: &DocRef) {
+        let found = match doc {
+            DocRef::Team(team) => {
+                let proposed = self.teams[team].proposed();
+                proposed.map(|(before, next)| verify::team(next, Some(before)))
+            }
+            DocRef::Slots(pool) => {
+                let proposed = self.slots[pool].proposed();
+                proposed.map(|(before, next)| verify::slots(next, Some(before)))
+            }
+            DocRef::Members => {
+                let proposed = self.members.proposed();
+                proposed.map(|(before, next)| verify::members(next, before))
+            }
+            DocRef::Config => self.config.proposed().map(|(_, next)| verify::config(next)),
+            DocRef::Fleet | DocRef::Claims(_) => None,
+        };
+        self.check(found.unwrap_or_default());
+    }
+
     /// Frees what runs of daemons held that have ended for certain: a newer run
     /// has joined, or the platform does not list the VM, and since then the
     /// longest request has had time to end.
--- a/crates/coordination/src/core/jobs.rs
+++ b/crates/coordination/src/core/jobs.rs
@@ -12,6 +12,7 @@
 use super::Core;
 use crate::document::Finished;
 use crate::event::Decision;
+use crate::frame::LimitName;
 use crate::mutate::team::{AttemptEnd, TeamMutation, TeamResult};
 use crate::timing::TASK_FENCE;
 
@@ -102,7 +103,7 @@
         if waiting.is_empty() {
             return;
         }
-        waiting.sort_by(|a, b| a.order.cmp(&b.order));
+        waiting.sort_by_key(|candidate| candidate.order);
         let workers = self.workers_of(pool);
         let mut rooms = self.rooms(&workers);
         let mut placed = 0;
@@ -128,7 +129,8 @@
         let mut found = Vec::new();
         for (team, job, record) in queued {
             let writer = &self.teams[team];
-            if writer.pending().next().is_some() {
+            let is_changing = writer.pending().any(|mutation| mutation.job() == Some(job));
+            if is_changing || self.is_short_anywhere(team) {
                 continue;
             }
             let limit = config.teams.get(team).map_or(0, |plan| plan.limit);
@@ -150,6 +152,15 @@
         found
     }
 
+    /// Whether requests of the team wait for room under its limit; they go
+    /// before its jobs.
+    fn is_short_anywhere(&self, team: &TeamId) -> bool {
+        let limit = LimitName::Team(team.clone());
+        let mut notes = self.contacts.notes(self.members.doc());
+        let elsewhere = notes.any(|(_, note)| note.short.iter().any(|short| short.limit == limit));
+        elsewhere || self.shortages().iter().any(|short| short.limit == limit)
+    }
+
     /// Free room by worker: its size less the jobs that are placed on it.
     fn rooms(&self, workers: &[VmListing]) -> BTreeMap<VmId, WorkerRoom> {
         let usable = workers.iter().filter(|listing| !self.is_aside(&listing.vm));
@@ -253,6 +264,9 @@
         finished: Vec<Finished<TeamMutation, TeamResult>>,
     ) {
         for Finished { mutation, result } in finished {
+            if let TeamMutation::MovePart { to, .. } = &mutation {
+                self.tell_moved(LimitName::Team(team.clone()), to);
+            }
             let ended_well = matches!(&mutation, TeamMutation::End { end: AttemptEnd::Done, .. });
             if ended_well && result == TeamResult::Applied {
                 self.measures.jobs_done += 1;
--- a/crates/coordination/src/core/limits.rs
+++ b/crates/coordination/src/core/limits.rs
@@ -6,7 +6,6 @@
 use state::{Moment, PoolId, SlotCount, TeamId, VmId, VmPresence, VmRole, VmState};
 
 use super::Core;
-use crate::frame::Shortage;
 use crate::mutate::slot::SlotMutation;
 use crate::mutate::team::TeamMutation;
 use crate::timing::{REBALANCE_PERIOD, TEAM_REFRESH};
@@ -115,18 +114,18 @@
         let jobs_wait = doc.jobs.values().any(|job| job.state == state::JobState::Queued);
         let fair = capacity / self.member_count();
         let queued = self.queued_of(team);
-        let wanted_elsewhere = self.wanted_elsewhere(team) + u32::from(jobs_wait && room == 0);
+        let jobs_want = u32::from(jobs_wait && room == 0);
         let me = self.me().clone();
         let limit = self.team_limits.entry(team.clone()).or_default();
         let needed = limit.in_use() + queued;
-        let reserve = if over || wanted_elsewhere > 0 { needed } else { needed.max(fair) };
+        let reserve = if over || jobs_wait { needed } else { needed.max(fair) };
         let granted = limit.ceiling();
         if reserve > granted && room > 0 && !over {
             let wanted = reserve.min(granted + room);
             self.submit_team(team, TeamMutation::SetPart { holder: me, wanted });
-        } else if granted > reserve && (over || wanted_elsewhere > 0) {
+        } else if granted > reserve && (over || jobs_want > 0) {
             let surplus = granted - reserve;
-            let given = if over { surplus } else { surplus.min(wanted_elsewhere) };
+            let given = if over { surplus } else { surplus.min(jobs_want) };
             if let Some(part) = limit.lower_to(granted - given) {
                 self.submit_team(team, TeamMutation::SetPart { holder: me, wanted: part });
             }
@@ -142,24 +141,6 @@
         self.queues.values().map(|queue| queue.waiting_of(&team) as u32).sum()
     }
 
-    fn wanted_elsewhere(&self, team: &TeamId) -> u32 {
-        let short = self.contacts.notes(self.members.doc()).flat_map(|(_, note)| &note.short);
-        let counts = short.filter_map(|shortage| match shortage {
-            Shortage::Team { team: short, count } if short == team => Some(*count),
-            _ => None,
-        });
-        counts.sum()
-    }
-
-    fn slots_wanted_elsewhere(&self, pool: &PoolId) -> u32 {
-        let short = self.contacts.notes(self.members.doc()).flat_map(|(_, note)| &note.short);
-        let counts = short.filter_map(|shortage| match shortage {
-            Shortage::Slots { pool: short, count } if short == pool => Some(*count),
-            _ => None,
-        });
-        counts.sum()
-    }
-
     fn weigh_slots(&mut self, pool: &PoolId) {
         let writer = self.slot_writer(pool);
         if !writer.is_known() || writer.pending().next().is_some() {
@@ -168,52 +149,26 @@
         self.forget_gone_minions(pool);
         let minions = self.minions_of(pool);
         let queued = self.queues.get(pool).map_or(0, |queue| queue.len() as u32);
-        let wanted_elsewhere = self.slots_wanted_elsewhere(pool);
         let mut still_wanted = queued.saturating_sub(self.free_slots(pool));
-        let mut to_give = if queued == 0 { wanted_elsewhere } else { 0 };
         for (vm, slots) in minions {
-            self.weigh_minion(pool, &vm, slots, &mut still_wanted, &mut to_give);
+            self.weigh_minion(pool, &vm, slots, &mut still_wanted);
         }
     }
 
-    /// Takes a fair part at first, more while requests wait, and gives unused
-    /// slots to daemons that are short of them.
-    fn weigh_minion(
-        &mut self,
-        pool: &PoolId,
-        vm: &VmId,
-        slots: SlotCount,
-        still_wanted: &mut u32,
-        to_give: &mut u32,
-    ) {
-        let me = self.me().clone();
+    /// Takes a fair part at first, and more while requests wait.
+    fn weigh_minion(&mut self, pool: &PoolId, vm: &VmId, slots: SlotCount, wanted: &mut u32) {
         let fair = (slots.0 / self.member_count()).max(1);
         let holdings = self.slot_writer(pool).doc().minions.get(vm);
         let room = holdings.map_or(slots.0, |held| slots.0.saturating_sub(held.given()));
         let route = self.routes.entry(pool.clone()).or_default();
-        let minion = route.minions.entry(vm.clone()).or_default();
-        let granted = minion.slots.ceiling();
-        let idle = granted.saturating_sub(minion.slots.in_use());
-        let target = if *still_wanted > 0 {
-            granted + (*still_wanted).min(room)
-        } else if *to_give > 0 && idle > 0 {
-            granted - idle.min(*to_give)
-        } else if *to_give == 0 && granted < fair {
-            granted + room.min(fair - granted)
-        } else {
-            granted
-        };
-        if target > granted {
-            *still_wanted -= (*still_wanted).min(target - granted);
-        } else if target < granted {
-            *to_give -= granted - target;
-            if minion.slots.lower_to(target).is_none() {
-                return;
-            }
-        } else {
+        let granted = route.minions.entry(vm.clone()).or_default().slots.ceiling();
+        let more = (*wanted).max(fair.saturating_sub(granted)).min(room);
+        if more == 0 {
             return;
         }
-        let part = SlotMutation::SetPart { vm: vm.clone(), slots, holder: me, wanted: target };
+        *wanted = wanted.saturating_sub(more);
+        let holder = self.me().clone();
+        let part = SlotMutation::SetPart { vm: vm.clone(), slots, holder, wanted: granted + more };
         self.submit_slots(pool, part);
     }
 
@@ -252,19 +207,6 @@
         route.map_or(0, |route| route.available(|vm| self.is_usable(pool, vm)))
     }
 
-    /// What this daemon could use more of, for its next frames.
-    pub(super) fn shortages(&self) -> Vec<Shortage> {
-        let teams = self.team_limits.iter().filter_map(|(team, limit)| {
-            let count = self.queued_of(team).saturating_sub(limit.available());
-            (count > 0).then(|| Shortage::Team { team: team.clone(), count })
-        });
-        let pools = self.queues.iter().filter_map(|(pool, queue)| {
-            let count = (queue.len() as u32).saturating_sub(self.free_slots(pool));
-            (count > 0).then(|| Shortage::Slots { pool: pool.clone(), count })
-        });
-        teams.chain(pools).collect()
-    }
-
     pub(super) fn holds_any_part(&self) -> bool {
         let me = self.me();
         let team = self.teams.values().any(|writer| writer.doc().holdings.part(me) > 0);
--- a/crates/coordination/src/core/mod.rs
+++ b/crates/coordination/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod jobs;
 mod limits;
+mod moves;
 mod peers;
 mod tasks;
 
@@ -142,6 +143,8 @@
     controls: Vec<PendingControl>,
 
     beat_due: Moment,
+    ask_due: Moment,
+    next_asked: usize,
     rebalance_due: Moment,
     refresh_due: Moment,
     jobs_due: Moment,
@@ -195,6 +198,8 @@
             worker_calls: BTreeMap::new(),
             controls: Vec::new(),
             beat_due: Moment(0),
+            ask_due: Moment(0),
+            next_asked: 0,
             rebalance_due: Moment(0),
             refresh_due: Moment(0),
             jobs_due: Moment(0),
@@ -222,6 +227,7 @@
             Event::Control { token, request } => self.control(token, request),
             Event::Stop => self.stopping = true,
         }
+        self.ask_for_parts();
         self.poll_documents();
         std::mem::take(&mut self.effects)
     }
--- /dev/null
+++ b/crates/coordination/src/core/moves.rs
@@ -0,0 +1,132 @@
+//! Moves unused parts of limits to daemons that are short of them.
+//!
+//! A daemon that is short says so at once to a few peers. A peer with unused
+//! parts writes one change that takes them from itself and gives them to the
+//! other, and tells it to read the document. So a move costs one write and one
+//! read, and the sum of the parts never changes (`docs/DESIGN.md`, "Limits").
+
+use state::{DaemonRef, Millis, PoolId, TeamId, VmId};
+
+use super::Core;
+use super::DocRef;
+use crate::frame::{Frame, FrameBody, LimitName, Shortage};
+use crate::mutate::slot::SlotMutation;
+use crate::mutate::team::TeamMutation;
+
+/// Shortest time between two rounds of asking.
+const ASK_PERIOD: Millis = Millis(100);
+/// Peers that are asked in one round.
+const PEERS_ASKED: usize = 2;
+
+impl Core {
+    /// What this daemon could use more of.
+    pub(super) fn shortages(&self) -> Vec<Shortage> {
+        let teams = self.team_limits.iter().filter_map(|(team, limit)| {
+            let count = self.queued_of(team).saturating_sub(limit.available());
+            (count > 0).then(|| Shortage { limit: LimitName::Team(team.clone()), count })
+        });
+        let pools = self.queues.iter().filter_map(|(pool, queue)| {
+            let count = (queue.len() as u32).saturating_sub(self.free_slots(pool));
+            (count > 0).then(|| Shortage { limit: LimitName::Slots(pool.clone()), count })
+        });
+        teams.chain(pools).collect()
+    }
+
+    /// Asks the next few peers for what is short, without waiting for the next
+    /// heartbeat.
+    pub(super) fn ask_for_parts(&mut self) {
+        if self.now() < self.ask_due || self.queues.values().all(|queue| queue.len() == 0) {
+            return;
+        }
+        if self.shortages().is_empty() {
+            return;
+        }
+        self.ask_due = self.now() + ASK_PERIOD;
+        let peers = self.peers();
+        let note = self.note();
+        for step in 0..PEERS_ASKED.min(peers.len()) {
+            let peer = &peers[(self.next_asked + step) % peers.len()];
+            self.send_frame(peer, note.clone(), FrameBody::Beat);
+        }
+        self.next_asked = self.next_asked.wrapping_add(PEERS_ASKED);
+    }
+
+    /// Gives what a peer is short of, as far as it is unused here.
+    pub(super) fn give_parts(&mut self, frame: &Frame) {
+        if self.work_permit().is_err() {
+            return;
+        }
+        for shortage in &frame.note.short {
+            match &shortage.limit {
+                LimitName::Team(team) => self.give_limit(team, &frame.from, shortage.count),
+                LimitName::Slots(pool) => self.give_slots(pool, &frame.from, shortage.count),
+            }
+        }
+    }
+
+    fn give_limit(&mut self, team: &TeamId, to: &DaemonRef, count: u32) {
+        let queued = self.queued_of(team);
+        if !self.teams.contains_key(team) || self.team_writer(team).pending().next().is_some() {
+            return;
+        }
+        let Some(limit) = self.team_limits.get_mut(team) else { return };
+        let idle = limit.available().saturating_sub(queued);
+        let given = idle.div_ceil(2).min(count);
+        if given == 0 {
+            return;
+        }
+        let Some(left) = limit.lower_to(limit.ceiling() - given) else { return };
+        let from = self.me().clone();
+        self.submit_team(team, TeamMutation::MovePart { from, to: to.clone(), left });
+    }
+
+    fn give_slots(&mut self, pool: &PoolId, to: &DaemonRef, count: u32) {
+        let queued = self.queues.get(pool).map_or(0, |queue| queue.len() as u32);
+        if !self.slots.contains_key(pool) || self.slot_writer(pool).pending().next().is_some() {
+            return;
+        }
+        let idle = self.free_slots(pool).saturating_sub(queued);
+        let mut given = idle.div_ceil(2).min(count);
+        for (vm, _) in self.minions_of(pool) {
+            if given == 0 {
+                return;
+            }
+            given -= self.give_slots_of(pool, &vm, to, given);
+        }
+    }
+
+    fn give_slots_of(&mut self, pool: &PoolId, vm: &VmId, to: &DaemonRef, most: u32) -> u32 {
+        let route = self.routes.get_mut(pool).and_then(|route| route.minions.get_mut(vm));
+        let Some(minion) = route else { return 0 };
+        let given = minion.slots.available().min(most);
+        if given == 0 {
+            return 0;
+        }
+        let Some(left) = minion.slots.lower_to(minion.slots.ceiling() - given) else { return 0 };
+        let (from, to) = (self.me().clone(), to.clone());
+        self.submit_slots(pool, SlotMutation::MovePart { vm: vm.clone(), from, to, left });
+        given
+    }
+
+    /// Tells the receiver of a move that is now written.
+    pub(super) fn tell_moved(&mut self, limit: LimitName, to: &DaemonRef) {
+        let note = self.note();
+        self.send_frame(to, note, FrameBody::Moved { limit });
+    }
+
+    /// Reads a document in which parts were moved here.
+    pub(super) fn parts_moved(&mut self, limit: &LimitName) {
+        let doc = match limit {
+            LimitName::Team(team) if self.teams.contains_key(team) => {
+                self.team_writer(team).refresh();
+                DocRef::Team(team.clone())
+            }
+            LimitName::Slots(pool) if self.slots.contains_key(pool) => {
+                self.slot_writer(pool).refresh();
+                DocRef::Slots(pool.clone())
+            }
+            _ => return,
+        };
+        self.dirty.insert(doc);
+    }
+}
--- a/crates/coordination/src/core/peers.rs
+++ b/crates/coordination/src/core/peers.rs
@@ -37,7 +37,7 @@
             .collect()
     }
 
-    fn note(&self) -> PeerNote {
+    pub(super) fn note(&self) -> PeerNote {
         PeerNote {
             config: self.config.revision(),
             members: self.members.revision(),
@@ -62,7 +62,7 @@
         calls || self.lingering.iter().any(|call| call.vm == *vm) || self.has_tasks_on(vm)
     }
 
-    fn send_frame(&mut self, peer: &DaemonRef, note: PeerNote, body: FrameBody) {
+    pub(super) fn send_frame(&mut self, peer: &DaemonRef, note: PeerNote, body: FrameBody) {
         let Some(record) = self.members.doc().members.get(&peer.daemon) else { return };
         let address = record.peer_address.clone();
         let frame = Frame {
@@ -99,9 +99,11 @@
         let now = self.now();
         if self.contacts.heard(now, frame) {
             self.shares.peer_said(&frame.from.daemon, &frame.note.service, now);
+            self.give_parts(frame);
         }
         match &frame.body {
             FrameBody::Beat => {}
+            FrameBody::Moved { limit } => self.parts_moved(limit),
             FrameBody::WantConfig => self.send_config(&frame.from),
             FrameBody::Config { revision, value } => self.learn_config(*revision, value),
         }
--- a/crates/coordination/src/core/tasks.rs
+++ b/crates/coordination/src/core/tasks.rs
@@ -17,6 +17,8 @@
 /// Failures in a row, of different jobs, after which a worker is set aside.
 const FAILURES_TO_SET_ASIDE: u32 = 3;
 const ASIDE: Millis = Millis(60_000);
+/// Longest gap between polls of a worker that is asked all the time.
+const ASKED_LATELY: Millis = Millis(5_000);
 
 /// What this daemon knows of one worker.
 #[derive(Debug, Clone, Default)]
@@ -46,9 +48,13 @@
         self.workers.entry(worker.clone()).or_default()
     }
 
-    /// How long a worker has not answered since it was first asked.
+    /// How long a worker has not answered although it was asked all the time. A
+    /// worker that had no task was not asked, so its silence then says nothing.
     pub(super) fn worker_silence(&self, worker: &VmId) -> Millis {
         let Some(view) = self.workers.get(worker) else { return Millis(0) };
+        if view.polled.is_none_or(|at| self.now() - at > ASKED_LATELY) {
+            return Millis(0);
+        }
         let since = view.answered.max(view.first_asked);
         since.map_or(Millis(0), |since| self.now() - since)
     }
@@ -79,7 +85,9 @@
     pub(super) fn poll_worker(&mut self, worker: &VmId) {
         let now = self.now();
         let view = self.view(worker);
-        view.first_asked.get_or_insert(now);
+        if view.polled.is_none_or(|at| now - at > ASKED_LATELY) {
+            view.first_asked = Some(now);
+        }
         let is_due = view.polled.is_none_or(|at| now - at >= WORKER_POLL);
         if view.polling || !is_due {
             return;
@@ -118,7 +126,8 @@
     }
 
     fn has_pending_change(&self, placed: &PlacedJob) -> bool {
-        self.teams[&placed.team].pending().next().is_some()
+        let mut pending = self.teams[&placed.team].pending();
+        pending.any(|mutation| mutation.job() == Some(&placed.job))
     }
 
     fn stop_task(&mut self, placed: &PlacedJob) {
--- a/crates/coordination/src/document.rs
+++ b/crates/coordination/src/document.rs
@@ -36,7 +36,27 @@
 enum Flight<D, M, R> {
     Idle,
     Reading,
-    Writing { next: D, batch: Vec<M>, results: Vec<R> },
+    Writing { next: D, batch: Vec<BatchEntry<M>>, results: Vec<R> },
+}
+
+/// One change that is not known to be written.
+#[derive(Debug)]
+struct BatchEntry<M> {
+    mutation: M,
+    /// A write with it had no answer, so that write may have taken effect or may
+    /// yet do so.
+    attempted: bool,
+    /// Whoever asked for it has given up, so it is not written again.
+    withdrawn: bool,
+}
+
+/// What became of a withdrawn change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Withdrawal {
+    /// It was not written and will not be.
+    NotWritten,
+    /// A write with it is under way; it will not be tried again.
+    MayBeWritten,
 }
 
 /// The writer and cached copy of one document.
@@ -48,7 +68,7 @@
     doc: D,
     known: bool,
     reread: bool,
-    waiting: Vec<M>,
+    waiting: Vec<BatchEntry<M>>,
     flight: Flight<D, M, R>,
     pause: Millis,
     resume_at: Moment,
@@ -92,7 +112,7 @@
 
     /// Adds a change to the next write.
     pub fn submit(&mut self, mutation: M) {
-        self.waiting.push(mutation);
+        self.waiting.push(BatchEntry { mutation, attempted: false, withdrawn: false });
     }
 
     /// Changes that are not known to be written.
@@ -101,7 +121,25 @@
             Flight::Writing { batch, .. } => batch.as_slice(),
             _ => &[],
         };
-        self.waiting.iter().chain(in_flight)
+        self.waiting.iter().chain(in_flight).map(|entry| &entry.mutation)
+    }
+
+    /// Gives up a change, so that it cannot be written long after whoever asked
+    /// for it was told that its fate is unknown.
+    pub fn withdraw(&mut self, is_it: impl Fn(&M) -> bool) -> Withdrawal {
+        let attempted = |entry: &BatchEntry<M>| is_it(&entry.mutation) && entry.attempted;
+        let mut fate = match self.waiting.iter().any(attempted) {
+            true => Withdrawal::MayBeWritten,
+            false => Withdrawal::NotWritten,
+        };
+        self.waiting.retain(|entry| !is_it(&entry.mutation));
+        if let Flight::Writing { batch, .. } = &mut self.flight {
+            for entry in batch.iter_mut().filter(|entry| is_it(&entry.mutation)) {
+                entry.withdrawn = true;
+                fate = Withdrawal::MayBeWritten;
+            }
+        }
+        fate
     }
 
     /// Whether a call is under way or still to be made.
@@ -110,6 +148,14 @@
         in_flight || self.reread || !self.known || !self.waiting.is_empty()
     }
 
+    /// The write that is under way: what it replaces, and what by.
+    pub fn proposed(&self) -> Option<(&D, &D)> {
+        match &self.flight {
+            Flight::Writing { next, .. } => Some((&self.doc, next)),
+            _ => None,
+        }
+    }
+
     /// Asks for the document to be read again.
     pub fn refresh(&mut self) {
         self.reread = true;
@@ -158,7 +204,7 @@
         let batch = mem::take(&mut self.waiting);
         let mut next = self.doc.clone();
         let results: Vec<R> =
-            batch.iter().map(|mutation| (self.apply)(&mut next, mutation)).collect();
+            batch.iter().map(|entry| (self.apply)(&mut next, &entry.mutation)).collect();
         if next == self.doc {
             return (None, finish(batch, results));
         }
@@ -200,8 +246,14 @@
         }
     }
 
-    fn write_failed(&mut self, now: Moment, answer: PlatformAnswer, batch: Vec<M>) {
-        self.waiting.splice(0..0, batch);
+    fn write_failed(&mut self, now: Moment, answer: PlatformAnswer, batch: Vec<BatchEntry<M>>) {
+        let is_certain = matches!(answer, PlatformAnswer::Conflict | PlatformAnswer::Refused);
+        let wanted = batch.into_iter().filter(|entry| !entry.withdrawn);
+        let noted = wanted.map(|entry| BatchEntry {
+            attempted: entry.attempted && answer != PlatformAnswer::Conflict || !is_certain,
+            ..entry
+        });
+        self.waiting.splice(0..0, noted);
         self.reread = true;
         if answer != PlatformAnswer::Conflict {
             self.back_off(now);
@@ -212,7 +264,7 @@
         &mut self,
         revision: Revision,
         next: D,
-        batch: Vec<M>,
+        batch: Vec<BatchEntry<M>>,
         results: Vec<R>,
     ) -> Vec<Finished<M, R>> {
         self.pause = STORE_PAUSE;
@@ -230,7 +282,7 @@
     }
 }
 
-fn finish<M, R>(batch: Vec<M>, results: Vec<R>) -> Vec<Finished<M, R>> {
+fn finish<M, R>(batch: Vec<BatchEntry<M>>, results: Vec<R>) -> Vec<Finished<M, R>> {
     let pairs = batch.into_iter().zip(results);
-    pairs.map(|(mutation, result)| Finished { mutation, result }).collect()
+    pairs.map(|(entry, result)| Finished { mutation: entry.mutation, result }).collect()
 }
--- a/crates/coordination/src/frame.rs
+++ b/crates/coordination/src/frame.rs
@@ -1,7 +1,7 @@
 //! What daemons tell each other, twice a second and when something changed.
 
 use serde::{Deserialize, Serialize};
-use state::{DaemonRef, Incarnation, Moment, Revision, TeamId, VmId};
+use state::{DaemonRef, Incarnation, Moment, PoolId, Revision, TeamId, VmId};
 
 /// Service that a daemon gave a team lately, in slot-milliseconds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -12,24 +12,23 @@
     pub service: u64,
 }
 
-/// A limit that a daemon has too small a part of.
+/// A limit that is split over the daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Shortage {
-    /// A team's limit.
-    Team {
-        /// The team.
-        team: TeamId,
-        /// How much more could be used now.
-        count: u32,
-    },
-    /// Slots of a pool's minions.
-    Slots {
-        /// The pool.
-        pool: state::PoolId,
-        /// How much more could be used now.
-        count: u32,
-    },
+pub enum LimitName {
+    /// A team's upper limit.
+    Team(TeamId),
+    /// The slots of a pool's minions.
+    Slots(PoolId),
+}
+
+/// A limit that a daemon has too small a part of.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shortage {
+    /// Which limit.
+    pub limit: LimitName,
+    /// How much more could be used now.
+    pub count: u32,
 }
 
 /// What a daemon says of itself in each frame.
@@ -55,6 +54,11 @@
 pub enum FrameBody {
     /// A heartbeat only.
     Beat,
+    /// Parts of a limit were moved to the receiver.
+    Moved {
+        /// Which limit.
+        limit: LimitName,
+    },
     /// Asks for the configuration.
     WantConfig,
     /// The configuration's document.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -32,10 +32,10 @@
 
 pub use crate::core::{Core, CoreSettings, Identity, Measures};
 pub use contact::ContactTable;
-pub use document::{DocumentWriter, WriterCall};
+pub use document::{DocumentWriter, Finished, Withdrawal, WriterCall};
 pub use event::{
     CallArrival, CallEnding, CallVerdict, Clock, ControlAnswer, ControlRequest, Decision, Effect,
     Event, IoCall, PlatformAnswer, PlatformRequest, Refusal, RefusalKind, StoredValue, TaskReport,
     TaskState, Token, VmAction, WorkerAnswer, WorkerRequest,
 };
-pub use frame::{Frame, FrameBody, PeerNote, Shortage, TeamService};
+pub use frame::{Frame, FrameBody, LimitName, PeerNote, Shortage, TeamService};
--- a/crates/coordination/src/mutate/slot.rs
+++ b/crates/coordination/src/mutate/slot.rs
@@ -18,6 +18,17 @@
         /// The part to have.
         wanted: u32,
     },
+    /// Moves a daemon's unused slots of a minion to another daemon.
+    MovePart {
+        /// The minion.
+        vm: VmId,
+        /// Who gives.
+        from: DaemonRef,
+        /// Who gets.
+        to: DaemonRef,
+        /// What the giver keeps.
+        left: u32,
+    },
     /// Frees all parts of runs that have ended for certain.
     DropHolders {
         /// The ended runs.
@@ -38,6 +49,11 @@
             holdings.capacity = slots.0;
             holdings.set_part(holder, *wanted, 0);
         }
+        SlotMutation::MovePart { vm, from, to, left } => {
+            if let Some(holdings) = doc.minions.get_mut(vm) {
+                holdings.move_part(from, to, *left);
+            }
+        }
         SlotMutation::DropHolders { holders } => {
             for holdings in doc.minions.values_mut() {
                 drop_holders(holdings, holders);
--- a/crates/coordination/src/mutate/team.rs
+++ b/crates/coordination/src/mutate/team.rs
@@ -27,6 +27,15 @@
         /// The part to have.
         wanted: u32,
     },
+    /// Moves a daemon's unused part of the limit to another daemon.
+    MovePart {
+        /// Who gives.
+        from: DaemonRef,
+        /// Who gets.
+        to: DaemonRef,
+        /// What the giver keeps.
+        left: u32,
+    },
     /// Frees all parts of runs that have ended for certain.
     DropHolders {
         /// The ended runs.
@@ -79,6 +88,20 @@
     },
 }
 
+impl TeamMutation {
+    /// The job that is changed, if any.
+    pub fn job(&self) -> Option<&JobId> {
+        match self {
+            Self::Add { job, .. }
+            | Self::Place { job, .. }
+            | Self::End { job, .. }
+            | Self::GiveUp { job, .. }
+            | Self::Cancel { job, .. } => Some(job),
+            _ => None,
+        }
+    }
+}
+
 /// How an attempt at a job ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -112,6 +135,10 @@
             doc.holdings.set_part(holder, *wanted, placed);
             TeamResult::Applied
         }
+        TeamMutation::MovePart { from, to, left } => {
+            doc.holdings.move_part(from, to, *left);
+            TeamResult::Applied
+        }
         TeamMutation::DropHolders { holders } => {
             drop_holders(&mut doc.holdings, holders);
             TeamResult::Applied
--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -90,6 +90,22 @@
     }
 }
 
+impl Holdings {
+    /// Moves parts from `from`, which keeps `left`, to `to`. The sum stays the
+    /// same, and a second call changes nothing.
+    pub fn move_part(&mut self, from: &DaemonRef, to: &DaemonRef, left: u32) {
+        let moved = self.part(from).saturating_sub(left);
+        if moved == 0 {
+            return;
+        }
+        *self.parts.entry(to.clone()).or_default() += moved;
+        match left {
+            0 => self.parts.remove(from),
+            _ => self.parts.insert(from.clone(), left),
+        };
+    }
+}
+
 /// The slots of a pool's minions, split over the daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct SlotDoc {
