Requests step the state machine themselves; a thread of its own logs

Ruled out: the work of a step itself (no change when only the order of effects changed). Change: the machine stands behind a lock and whoever has an event steps it; decisions go to a log thread over a bounded ring; the caller is answered before the slot's return is noted.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -11,7 +11,7 @@
 use coordination::{
     CallArrival, CallEnding, CallVerdict, ControlRequest, Event, Refusal, RefusalKind, Token,
 };
-use crossbeam::channel::{Receiver, Sender};
+use crossbeam::channel::Receiver;
 use eyre::{Context, Result};
 use protocol::{
     HEADER_DEADLINE, HEADER_IDEMPOTENCY, HEADER_OUTCOME, HEADER_REQUEST, Outcome, OutcomeBody,
@@ -23,7 +23,8 @@
 use tiny_http::{Header, Request, Response};
 use transport::{HttpAnswer, HttpCall, HttpFailure, HttpServer, read_body, send_http};
 
-use crate::ring::{Reply, Rings};
+use crate::machine::Machine;
+use crate::ring::{Reply, RingOutlets};
 
 /// Stack of a request thread, in bytes.
 const STACK_BYTES: usize = 256 << 10;
@@ -34,7 +35,7 @@
 
 struct Carrier {
     token: Token,
-    events: Sender<Event>,
+    machine: Arc<Machine>,
     replies: Receiver<Reply>,
     operator_key: OperatorKey,
 }
@@ -52,11 +53,16 @@
 }
 
 /// Starts all request threads.
-pub fn start(settings: &DaemonSettings, server: &Arc<HttpServer>, rings: &Rings) -> Result<()> {
-    for (number, replies) in rings.replies.iter().enumerate() {
+pub fn start(
+    settings: &DaemonSettings,
+    server: &Arc<HttpServer>,
+    machine: &Arc<Machine>,
+    outlets: &RingOutlets,
+) -> Result<()> {
+    for (number, replies) in outlets.replies.iter().enumerate() {
         let carrier = Carrier {
             token: Token(number as u64),
-            events: rings.events_in.clone(),
+            machine: Arc::clone(machine),
             replies: replies.clone(),
             operator_key: settings.operator_key.clone(),
         };
@@ -98,9 +104,7 @@
             Ok(plan) => plan,
             Err(answer) => return answer_plain(request, answer),
         };
-        if self.events.send(Event::Call(plan.arrival)).is_err() {
-            return answer_plain(request, refused(503, "this daemon is stopping"));
-        }
+        self.machine.post(Event::Call(plan.arrival));
         self.follow_verdicts(request, &plan.path, body);
     }
 
@@ -119,8 +123,9 @@
                     let decided = Instant::now();
                     match attempt(&request, &id, &address, left, path, body, decided) {
                         Ok(answer) => {
-                            self.end_attempt(answered(&answer));
-                            return hand_on(request, &id, answer);
+                            let ending = answered(&answer);
+                            hand_on(request, &id, answer);
+                            return self.end_attempt(ending);
                         }
                         Err(ending) => self.end_attempt(ending),
                     }
@@ -135,7 +140,7 @@
     }
 
     fn end_attempt(&self, ending: CallEnding) {
-        let _ = self.events.send(Event::CallEnded { token: self.token, ending });
+        self.machine.post(Event::CallEnded { token: self.token, ending });
     }
 
     fn carry_control(&self, request: Request, rest: &str, body: &[u8]) {
@@ -156,9 +161,7 @@
             let reason = "the operators' key is needed, and the key shown is not it";
             return answer_plain(request, refused(401, reason));
         }
-        if self.events.send(Event::Control { token: self.token, request: asked }).is_err() {
-            return answer_plain(request, refused(503, "this daemon is stopping"));
-        }
+        self.machine.post(Event::Control { token: self.token, request: asked });
         let Ok(Reply::Control(answer)) = self.replies.recv() else { return };
         let reply = control_reply(&answer);
         let text = format!("{}\n", reply.body);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,12 +1,12 @@
 //! `pollenfalld`: the daemon of an entry VM.
 //!
-//! One thread owns the state machine ([`coordination::Core`]); every other
-//! thread has one duty and carries events to it and effects from it over
-//! bounded rings (`docs/DESIGN.md`, "Threads").
+//! All decisions are those of one state machine ([`coordination::Core`]) behind a
+//! lock. Every thread has one duty: it brings events to the machine, or carries
+//! effects out that it takes from a bounded ring (`docs/DESIGN.md`, "Threads").
 
-mod core_loop;
 mod front;
 mod logs;
+mod machine;
 mod metrics;
 mod pools;
 mod ring;
@@ -17,10 +17,14 @@
 use std::sync::Arc;
 
 use bpaf::Bpaf;
+use crossbeam::channel::bounded;
 use eyre::{Context, Result, eyre};
 use state::{DaemonSettings, parse_daemon_settings};
 use transport::{HttpServer, PeerSettings, start_peer_link};
 
+use machine::Machine;
+use metrics::Metrics;
+
 /// Carries a fleet's requests and jobs, and keeps its limits and maintenance.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
@@ -66,17 +70,22 @@
 fn serve(settings: DaemonSettings) -> Result<()> {
     let server = HttpServer::listen(settings.listen).map_err(|reason| eyre!("{reason}"))?;
     let server = Arc::new(server);
-    let rings = ring::rings(settings.request_threads);
-    let incoming = rings.frames_in.clone();
-    let peers = PeerSettings { listen: settings.peer_listen, incoming };
+    let (frames_in, frames) = ring::frame_ring();
+    let peers = PeerSettings { listen: settings.peer_listen, incoming: frames_in };
     let peers = start_peer_link(peers).map_err(|reason| eyre!("{reason}"))?;
-    let metrics = metrics::Metrics::new(&settings).map_err(|reason| eyre!("metrics: {reason}"))?;
-    signals::start(rings.events_in.clone()).wrap_err("signals")?;
-    pools::start(&settings, &rings)?;
-    front::start(&settings, &server, &rings)?;
+    let metrics = Metrics::new(&settings).wrap_err("metrics")?;
+    let (inlets, outlets) = ring::rings(settings.request_threads);
+    let (ended, end) = bounded(1);
+    let machine = Arc::new(Machine::new(&settings, inlets, peers, ended));
+    signals::start(Arc::clone(&machine)).wrap_err("signals")?;
+    pools::start_calls(&settings, &machine, &outlets)?;
+    pools::start_log(&outlets)?;
+    pools::start_frames(&machine, frames)?;
+    pools::start_clock(&machine, metrics)?;
+    front::start(&settings, &server, &machine, &outlets)?;
     tracing::info!(daemon = %settings.daemon, listen = %settings.listen, "started");
-    let outcome = core_loop::run(&settings, rings, &peers, metrics);
-    outcome.map_err(|violations| eyre!("a broken invariant stopped this daemon:\n{violations}"))?;
+    let ending = end.recv().wrap_err("every thread ended")?;
+    ending.map_err(|violations| eyre!("a broken invariant stopped this daemon:\n{violations}"))?;
     tracing::info!(daemon = %settings.daemon, "stopped");
     Ok(())
 }
--- a/crates/daemon/src/ring.rs
+++ b/crates/daemon/src/ring.rs
@@ -1,18 +1,18 @@
 //! The bounded rings between threads.
 
 use coordination::{
-    CallVerdict, ControlAnswer, Event, Frame, IoCall, PlatformRequest, Token, WorkerRequest,
+    CallVerdict, ControlAnswer, Decision, Frame, IoCall, PlatformRequest, Token, WorkerRequest,
 };
 use crossbeam::channel::{Receiver, Sender, bounded};
 
-/// Events that wait for the state machine, at most. Carriers block when it is
-/// full, so callers wait in their sockets.
-const EVENT_RING: usize = 4_096;
 /// Frames that wait for the state machine, at most; more are dropped.
 const FRAME_RING: usize = 1_024;
-/// Calls that wait for a thread, at most.
+/// Calls that wait for a thread, at most; more are refused.
 const IO_RING: usize = 1_024;
 
+/// Decisions that wait to be logged, at most.
+const LOG_RING: usize = 4_096;
+
 /// What the state machine tells a request's carrier.
 #[derive(Debug, Clone)]
 pub enum Reply {
@@ -42,56 +42,55 @@
     pub request: WorkerRequest,
 }
 
-/// Both ends of every ring.
-pub struct Rings {
-    /// Events to the state machine.
-    pub events_in: Sender<Event>,
-    /// The state machine's end.
-    pub events: Receiver<Event>,
-    /// Frames to the state machine.
-    pub frames_in: Sender<Box<Frame>>,
-    /// The state machine's end.
-    pub frames: Receiver<Box<Frame>>,
+/// Where the state machine puts what others have to do.
+pub struct RingInlets {
+    /// Calls to the platform that end within a round trip.
+    pub platform: Sender<PlatformJob>,
+    /// Watches, which wait.
+    pub watch: Sender<PlatformJob>,
+    /// Calls to workers.
+    pub worker: Sender<WorkerJob>,
+    /// Decisions to log.
+    pub decisions: Sender<Decision>,
+    /// Replies by the carriers' tokens.
+    pub replies: Vec<Sender<Reply>>,
+}
+
+/// Where the threads take what they have to do.
+pub struct RingOutlets {
     /// Calls to the platform that end within a round trip.
-    pub platform_in: Sender<PlatformJob>,
-    /// The threads' end.
     pub platform: Receiver<PlatformJob>,
     /// Watches, which wait.
-    pub watch_in: Sender<PlatformJob>,
-    /// The thread's end.
     pub watch: Receiver<PlatformJob>,
     /// Calls to workers.
-    pub worker_in: Sender<WorkerJob>,
-    /// The threads' end.
     pub worker: Receiver<WorkerJob>,
-    /// Replies by the carriers' tokens.
-    pub replies_in: Vec<Sender<Reply>>,
-    /// The carriers' ends.
+    /// Decisions to log.
+    pub decisions: Receiver<Decision>,
+    /// Replies, one ring for each carrier.
     pub replies: Vec<Receiver<Reply>>,
 }
 
-/// Makes all rings for `carriers` request threads.
-pub fn rings(carriers: u32) -> Rings {
-    let (events_in, events) = bounded(EVENT_RING);
-    let (frames_in, frames) = bounded(FRAME_RING);
+/// Makes the rings between the state machine and `carriers` request threads and
+/// the threads that make calls.
+pub fn rings(carriers: u32) -> (RingInlets, RingOutlets) {
     let (platform_in, platform) = bounded(IO_RING);
     let (watch_in, watch) = bounded(IO_RING);
     let (worker_in, worker) = bounded(IO_RING);
+    let (decisions_in, decisions) = bounded(LOG_RING);
     let (replies_in, replies) = (0..carriers).map(|_| bounded(1)).unzip();
-    Rings {
-        events_in,
-        events,
-        frames_in,
-        frames,
-        platform_in,
-        platform,
-        watch_in,
-        watch,
-        worker_in,
-        worker,
-        replies_in,
-        replies,
-    }
+    let inlets = RingInlets {
+        platform: platform_in,
+        watch: watch_in,
+        worker: worker_in,
+        decisions: decisions_in,
+        replies: replies_in,
+    };
+    (inlets, RingOutlets { platform, watch, worker, decisions, replies })
+}
+
+/// Makes the ring for frames that came from peers.
+pub fn frame_ring() -> (Sender<Box<Frame>>, Receiver<Box<Frame>>) {
+    bounded(FRAME_RING)
 }
 
 /// The index of a carrier's ring.
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -1,21 +1,21 @@
 //! Turns SIGTERM and SIGINT into a graceful stop.
 
 use std::io;
+use std::sync::Arc;
 use std::thread;
 
 use coordination::Event;
-use crossbeam::channel::Sender;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+use crate::machine::Machine;
+
 /// Starts the signals' thread.
-pub fn start(events: Sender<Event>) -> io::Result<()> {
+pub fn start(machine: Arc<Machine>) -> io::Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let duty = move || {
         for _ in signals.forever() {
-            if events.send(Event::Stop).is_err() {
-                return;
-            }
+            machine.post(Event::Stop);
         }
     };
     thread::Builder::new().name("signals".into()).spawn(duty).map(drop)
