--- /dev/null
+++ b/crates/coordination/tests/promises/main.rs
@@ -0,0 +1,5 @@
+//! What must always hold, under failure: randomised runs and the fault matrix.
+
+mod matrix;
+mod random;
+mod world;
--- a/crates/coordination/tests/matrix.rs
+++ b/crates/coordination/tests/promises/matrix.rs
@@ -4,11 +4,9 @@
 //! the step for the second time after the start. The table of verdicts is a
 //! committed snapshot; "-" means that the step was not taken.
 
-mod world;
-
+use crate::world::scenario::{Action, Scenario, Step};
+use crate::world::{Fault, Strike, World};
 use coordination::ProtocolStep;
-use world::scenario::{Action, Scenario, Step};
-use world::{Fault, Strike, World};
 
 const LENGTH_MS: u64 = 30_000;
 const SEED: u64 = 3;
--- a/crates/coordination/tests/random.rs
+++ b/crates/coordination/tests/promises/random.rs
@@ -3,14 +3,12 @@
 //! `scripts/trials.sh COUNT SEED` runs more of them. A failure prints the seed
 //! and the smallest list of steps that still fails.
 
-mod world;
-
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
+use crate::world::World;
+use crate::world::scenario::{Scenario, scenarios};
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
-use world::World;
-use world::scenario::{Scenario, scenarios};
 
 const LENGTH_MS: u64 = 60_000;
 const MOST_STEPS: usize = 40;
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -63,7 +63,7 @@
 pub fn parse_daemon_settings(text: &str) -> Result<DaemonSettings, Vec<SettingFault>> {
     let outline = parse_outline(text).map_err(|fault| vec![fault])?;
     let mut faults = Vec::new();
-    let mut reader = ObjectReader::new(&outline, "the settings", &mut faults);
+    let mut reader = ObjectReader::new(&outline, "the settings file", &mut faults);
     let settings = read_settings(&mut reader);
     reader.finish();
     faults.sort();
--- a/scripts/sabotage.sh
+++ b/scripts/sabotage.sh
@@ -45,7 +45,7 @@
   sed -i -E "$3" "$copy/tree/$2"
   if cmp -s "$2" "$copy/tree/$2"; then echo "$1: the expression changed nothing"; return; fi
   local out
-  out=$(cd "$copy/tree" && TRIALS=$seeds SEED=1 SHRINK=0 FIRST=1 timeout 400 cargo test --release -q -p coordination --test random what -- --nocapture 2>&1)
+  out=$(cd "$copy/tree" && TRIALS=$seeds SEED=1 SHRINK=0 FIRST=1 timeout 400 cargo test --release -q -p coordination --test promises what -- --nocapture 2>&1)
   local seen
   seen=$(grep -E "^seed [0-9]+: |panicked at crates" <<<"$out" | head -n 1 | sed -E 's/Test failed: //; s/\.$//')
   if grep -q "^error" <<<"$out" && [ -z "$seen" ]; then seen="does not build: $(grep -m 1 '^error' <<<"$out")"; fi
--- a/scripts/trials.sh
+++ b/scripts/trials.sh
@@ -3,4 +3,4 @@
 # A failure prints its seed and the smallest list of steps that still fails.
 set -eu
 cd "$(dirname "$0")/.."
-TRIALS=${1:-200} SEED=${2:-1} cargo test --release -p coordination --test random what -- --nocapture
+TRIALS=${1:-200} SEED=${2:-1} cargo test --release -p coordination --test promises what -- --nocapture
