Lost requests count until their pool's deadline after they were sent

Ruled out: the moves of parts (the ledgers never were overdrawn; the verifier was silent). Change: it is counted until its pool's deadline after it was sent, which the operator states as the longest that a request runs.

--- a/crates/coordination/src/core/calls.rs
+++ b/crates/coordination/src/core/calls.rs
@@ -7,6 +7,7 @@
     CallArrival, CallEnding, CallVerdict, Decision, Effect, Refusal, RefusalKind, Token,
 };
 use crate::queue::CallKey;
+use crate::timing::LONGEST_REQUEST;
 
 /// Attempts at one request, at most.
 const MOST_ATTEMPTS: u32 = 3;
@@ -208,7 +209,7 @@
             }
             CallEnding::Broken { reason } => {
                 self.note_failure(key, &vm);
-                self.linger(key, &vm);
+                self.linger(key, &vm, at);
                 self.try_again(key, &reason, false);
             }
         }
@@ -320,17 +321,17 @@
         }
     }
 
-    /// Keeps what a broken attempt used until it has ended for certain.
-    fn linger(&mut self, key: CallKey, vm: &VmId) {
+    /// Keeps what a broken attempt used until it has ended for certain. A minion
+    /// may run it on after its caller's deadline; the pool's own deadline, counted
+    /// from when it was sent, bounds that (`docs/OPERATORS.md`).
+    fn linger(&mut self, key: CallKey, vm: &VmId, sent: Moment) {
+        let pool = self.calls[key].pool.clone();
+        let longest =
+            self.config.doc().pools.get(&pool).map_or(LONGEST_REQUEST, |row| row.deadline);
         let call = &mut self.calls[key];
-        call.sent_and_lost();
-        let until = call.deadline.max(self.clock.now) + state::Millis(LINGER_MARGIN_MS);
-        let lingering = LingeringCall {
-            team: call.team.clone(),
-            pool: call.pool.clone(),
-            vm: vm.clone(),
-            until,
-        };
+        call.sent_once = true;
+        let until = sent + longest + LINGER_MARGIN;
+        let lingering = LingeringCall { team: call.team.clone(), pool, vm: vm.clone(), until };
         self.lingering.push(lingering);
     }
 
@@ -395,19 +396,15 @@
     }
 }
 
-/// How much longer than its deadline a lost request is counted, for clocks that
-/// run at other rates.
-const LINGER_MARGIN_MS: u64 = 1_000;
+/// How much longer than its pool's deadline a lost request is counted, for clocks
+/// that run at other rates.
+const LINGER_MARGIN: Millis = Millis(1_000);
 
 fn short_request(number: u64) -> RequestId {
     number.to_string().parse().expect("digits are an identifier")
 }
 
 impl ActiveCall {
-    fn sent_and_lost(&mut self) {
-        self.sent_once = true;
-    }
-
     /// Whether no byte of any attempt was sent.
     fn was_never_sent(&self) -> bool {
         !self.sent_once
--- a/crates/coordination/src/core/peers.rs
+++ b/crates/coordination/src/core/peers.rs
@@ -20,7 +20,8 @@
 
     /// Sends every peer a frame at once, because something changed.
     pub(super) fn beat_now(&mut self) {
-        let note = self.note();
+        let mut note = self.note();
+        note.service = self.shares.told(self.now());
         for peer in self.peers() {
             self.send_frame(&peer, note.clone(), FrameBody::Beat);
         }
@@ -37,6 +38,8 @@
             .collect()
     }
 
+    /// What this daemon says of itself. Only frames to all peers tell of
+    /// service, because each difference is told once.
     pub(super) fn note(&self) -> PeerNote {
         PeerNote {
             config: self.config.revision(),
@@ -44,7 +47,7 @@
             fleet: self.fleet.revision(),
             busy: self.busy_vms(),
             short: self.shortages(),
-            service: self.shares.told(self.now()),
+            service: Vec::new(),
         }
     }
 
--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -14,9 +14,12 @@
 
 const HALF_LIFE: Millis = Millis(5_000);
 
-/// Service below this many slot-milliseconds is not told to peers.
+/// A difference below this many slot-milliseconds is not told to peers.
 const LEAST_TOLD: f64 = 1.0;
 
+/// Teams told of in one frame, at most.
+const MOST_TOLD: usize = 4;
+
 #[derive(Debug, Clone, Copy)]
 struct Decaying {
     value: f64,
@@ -40,6 +43,7 @@
 pub(crate) struct ShareTable {
     local: BTreeMap<TeamId, Decaying>,
     remote: BTreeMap<DaemonId, BTreeMap<TeamId, Decaying>>,
+    last_told: BTreeMap<TeamId, Decaying>,
 }
 
 impl ShareTable {
@@ -51,11 +55,13 @@
         self.local.insert(team.clone(), Decaying { value: amount.max(0.0), at: now });
     }
 
-    /// Takes what a peer says it gave.
+    /// Takes what a peer says it gave; teams that it does not name stay as they
+    /// were told last, and decay.
     pub(crate) fn peer_said(&mut self, peer: &DaemonId, told: &[TeamService], now: Moment) {
-        let entry =
-            |row: &TeamService| (row.team.clone(), Decaying { value: row.service as f64, at: now });
-        self.remote.insert(peer.clone(), told.iter().map(entry).collect());
+        let teams = self.remote.entry(peer.clone()).or_default();
+        for row in told {
+            teams.insert(row.team.clone(), Decaying { value: row.service as f64, at: now });
+        }
     }
 
     /// Forgets a peer that is no member any more.
@@ -71,11 +77,25 @@
         (local + remote) / f64::from(share.max(1))
     }
 
-    /// What to tell peers.
-    pub(crate) fn told(&self, now: Moment) -> Vec<TeamService> {
-        let rows = self.local.iter().map(|(team, known)| (team, known.value_at(now)));
-        let rows = rows.filter(|(_, value)| *value >= LEAST_TOLD);
-        rows.map(|(team, value)| TeamService { team: team.clone(), service: value as u64 })
-            .collect()
+    /// What to tell peers: the few teams whose service differs most from what
+    /// peers were told last, so that a frame's size does not grow with the teams.
+    pub(crate) fn told(&mut self, now: Moment) -> Vec<TeamService> {
+        let mut news: Vec<(f64, TeamId, f64)> = Vec::new();
+        for (team, known) in &self.local {
+            let value = known.value_at(now);
+            let before = self.last_told.get(team).map_or(0.0, |told| told.value_at(now));
+            let difference = (value - before).abs();
+            if difference >= LEAST_TOLD {
+                news.push((difference, team.clone(), value));
+            }
+        }
+        news.sort_by(|a, b| b.0.total_cmp(&a.0));
+        news.truncate(MOST_TOLD);
+        for (_, team, value) in &news {
+            self.last_told.insert(team.clone(), Decaying { value: *value, at: now });
+        }
+        let row =
+            |(_, team, value): (f64, TeamId, f64)| TeamService { team, service: value as u64 };
+        news.into_iter().map(row).collect()
     }
 }
