Requests that can no longer be on time are refused before they take a slot

Change: each pool's mean service time and deviation; a request that has less left than mean and two deviations (at most half its time) is refused, not run.

--- a/crates/coordination/src/core/calls.rs
+++ b/crates/coordination/src/core/calls.rs
@@ -34,6 +34,8 @@
     pub(crate) idempotent: bool,
     pub(crate) claim: Option<ClaimHold>,
     pub(crate) deadline: Moment,
+    /// From then on it could not be done by its deadline.
+    pub(crate) latest_start: Moment,
     pub(crate) phase: CallPhase,
     pub(crate) attempts: u32,
     pub(crate) tried: Vec<VmId>,
@@ -141,6 +143,8 @@
     fn accept_call(&mut self, arrival: CallArrival, admitted: Admitted) {
         let longest = self.config.doc().pools[&arrival.pool].deadline;
         let span = arrival.deadline.map_or(longest, |asked| asked.min(longest));
+        let estimate = self.service_estimate.get(&arrival.pool).copied().unwrap_or_default();
+        let needed = estimate.needed(span);
         self.next_request += 1;
         let request =
             format!("{}-{}-{}", self.me().daemon, self.me().incarnation, self.next_request);
@@ -152,6 +156,7 @@
             idempotent: arrival.idempotent,
             claim: None,
             deadline: self.now() + span,
+            latest_start: self.now() + Millis(span.0 - needed.0),
             phase: CallPhase::Queued,
             attempts: 0,
             tried: Vec::new(),
@@ -243,7 +248,7 @@
         let now = self.now();
         let call = &self.calls[key];
         let is_safe = not_sent || call.idempotent;
-        let has_time = now < call.deadline && call.attempts < MOST_ATTEMPTS;
+        let has_time = now < call.latest_start && call.attempts < MOST_ATTEMPTS;
         let (team, pool) = (call.team.clone(), call.pool.clone());
         if is_safe && has_time && self.retries.spend(&team, &pool) {
             self.measures.retries += 1;
@@ -345,11 +350,11 @@
         }
     }
 
-    /// Refuses waiting requests whose deadline has passed, or whose claim did
-    /// not come in time.
+    /// Refuses waiting requests that could not be done by their deadline any more,
+    /// or whose claim did not come in time.
     pub(super) fn expire_calls(&mut self) {
         let now = self.now();
-        let late = self.calls.iter().filter(|(_, call)| call.deadline <= now);
+        let late = self.calls.iter().filter(|(_, call)| call.latest_start <= now);
         let late = late.filter(|(_, call)| !matches!(call.phase, CallPhase::Sent { .. }));
         let late: Vec<CallKey> = late.map(|(key, _)| key).collect();
         if late.is_empty() {
@@ -359,16 +364,19 @@
             queue.drain_where(|key| late.contains(&key));
         }
         for key in late {
-            let reason = match self.calls[key].phase {
-                CallPhase::Claiming => "the claim could not be written in time",
-                _ => "no slot became free before the deadline",
-            };
-            let retry_after = Some(Millis(1_000));
-            let refused = Refusal { retry_after, ..refusal(RefusalKind::Overloaded, reason) };
-            self.refuse_call(key, refused);
+            self.refuse_late(key);
         }
     }
 
+    pub(super) fn refuse_late(&mut self, key: CallKey) {
+        let reason = match self.calls[key].phase {
+            CallPhase::Claiming => "the claim could not be written in time",
+            _ => "no slot became free in time for it to be done by its deadline",
+        };
+        let retry_after = Some(Millis(1_000));
+        self.refuse_call(key, Refusal { retry_after, ..refusal(RefusalKind::Overloaded, reason) });
+    }
+
     /// Refuses waiting requests whose key, grant or pool has gone.
     pub(super) fn refuse_withdrawn(&mut self) {
         let config = self.config.doc();
--- a/crates/coordination/src/core/dispatch.rs
+++ b/crates/coordination/src/core/dispatch.rs
@@ -7,11 +7,6 @@
 use crate::event::{CallEnding, CallVerdict, Decision};
 use crate::queue::CallKey;
 
-/// What a request of an unknown pool is taken to need, in slot-milliseconds.
-const FIRST_ESTIMATE_MS: f64 = 50.0;
-/// Weight of the newest request in the estimate of a pool's service time.
-const ESTIMATE_WEIGHT: f64 = 0.1;
-
 impl Core {
     pub(super) fn dispatch_all(&mut self) {
         let pools: Vec<PoolId> = self.waiting_pools().cloned().collect();
@@ -35,6 +30,10 @@
         while let Some(team) = self.next_team(pool) {
             let key = self.queues.get_mut(pool).and_then(|queue| queue.pop(&team));
             let Some(key) = key else { return };
+            if self.now() >= self.calls[key].latest_start {
+                self.refuse_late(key);
+                continue;
+            }
             if !self.send_call(key) {
                 self.calls[key].phase = CallPhase::Queued;
                 let queue = self.queues.entry(pool.clone()).or_default();
@@ -81,7 +80,7 @@
         let Some(vm) = chosen else { return false };
         let address = self.listing[&vm].address.clone();
         self.take_slot(&team, &pool, &vm);
-        let estimate = *self.service_estimate.get(&pool).unwrap_or(&FIRST_ESTIMATE_MS);
+        let estimate = self.service_estimate.get(&pool).copied().unwrap_or_default().mean_ms();
         if let Some(team) = &team {
             self.shares.charge(team, estimate, now);
         }
@@ -135,8 +134,7 @@
             *total += took as u64;
         }
         if matches!(ending, CallEnding::Answered { .. }) {
-            let estimate = self.service_estimate.entry(pool).or_insert(took);
-            *estimate += (took - *estimate) * ESTIMATE_WEIGHT;
+            self.service_estimate.entry(pool).or_default().observe(took);
         }
     }
 }
--- a/crates/coordination/src/core/mod.rs
+++ b/crates/coordination/src/core/mod.rs
@@ -25,6 +25,7 @@
 use crate::allotment::Allotment;
 use crate::contact::ContactTable;
 use crate::document::DocumentWriter;
+use crate::estimate::ServiceEstimate;
 use crate::event::{
     Clock, ControlAnswer, ControlRequest, Decision, Effect, Event, IoCall, Listing,
     PlatformRequest, Token,
@@ -138,7 +139,7 @@
     team_limits: BTreeMap<TeamId, Allotment>,
     shares: ShareTable,
     retries: RetryBudgets,
-    service_estimate: BTreeMap<PoolId, f64>,
+    service_estimate: BTreeMap<PoolId, ServiceEstimate>,
 
     workers: BTreeMap<VmId, WorkerView>,
     worker_calls: BTreeMap<IoCall, WorkerCallInfo>,
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,7 +12,8 @@
 //! - `contact` knows which daemons answer and whether this one may take work;
 //! - `allotment` compares what this daemon may use with what it uses;
 //! - `share` orders teams when all is full; `queue` holds waiting requests;
-//! - `route` chooses a minion; `retry` bounds repeats;
+//! - `route` chooses a minion; `retry` bounds repeats; `estimate` says how long
+//!   requests take;
 //! - `mutate` holds the one place where each document changes;
 //! - `step` names the steps of all protocols for the fault matrix;
 //! - `core` joins them: requests, limits, jobs, VMs, peers, operators.
@@ -22,6 +23,7 @@
 mod core;
 mod document;
 mod duty;
+mod estimate;
 mod event;
 mod frame;
 pub mod mutate;
