--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs every test. The verdict is the same on every run: seeds are fixed and
-# time is virtual.
+# Runs every test; arguments go to the test programs. The verdict is the same on
+# every run: seeds are fixed and time is virtual.
 set -eu
 cd "$(dirname "$0")/.."
-cargo test --workspace --quiet
+cargo test --workspace --quiet -- "$@"
