--- a/scripts/sabotage.sh
+++ b/scripts/sabotage.sh
@@ -25,7 +25,7 @@
 majority|$src/contact.rs|s/\(members.members.len\(\) - silent.len\(\)\) \* 2 > members.members.len\(\)/true/
 decision-age|$src/timing.rs|s/(DECISION_AGE: Millis = Millis\()1_000/\1100_000/
 holder-quarantine|$src/timing.rs|s/(HOLDER_QUARANTINE: Millis = Millis\()33_000/\10/
-lingering|$core/calls.rs|s/call.deadline.max\(self.clock.now\) \+ .*/self.clock.now;/
+lingering|$core/calls.rs|s/let until = sent \+ longest \+ LINGER_MARGIN;/let until = sent; let _unused = (longest, LINGER_MARGIN);/
 ceiling-before-write|$src/allotment.rs|s/self.lowering = Some\(part\);//
 drain-confirmation|$core/fleet.rs|s/!waiting.is_empty\(\) \|\| lost \|\|/lost \|\| waiting.len() > 99 ||/
 frozen-when-lowered|$core/limits.rs|s/let frozen = .*/let frozen = lowered \&\& false;/
