Clean-up: unused parameters, one place that tells submitters' requests

Cause: reading as a newcomer: parameters that were thrown away, the same match in two crates. Change: removed; ControlRequest::is_submitters.

--- a/crates/coordination/src/core/calls.rs
+++ b/crates/coordination/src/core/calls.rs
@@ -202,7 +202,7 @@
         let CallPhase::Sent { vm, at } = self.calls[key].phase.clone() else { return };
         self.correct_charge(key, at, &ending);
         match ending {
-            CallEnding::Answered { status, kept } => self.call_answered(key, &vm, status, kept),
+            CallEnding::Answered { kept, .. } => self.call_answered(key, &vm, kept),
             CallEnding::Stale => {
                 self.free_attempt(key, &vm);
                 self.enqueue(key, true);
@@ -220,8 +220,7 @@
         }
     }
 
-    fn call_answered(&mut self, key: CallKey, vm: &VmId, status: u16, kept: Option<KeptAnswer>) {
-        let _ = status;
+    fn call_answered(&mut self, key: CallKey, vm: &VmId, kept: Option<KeptAnswer>) {
         self.measures.done += 1;
         let pool = self.calls[key].pool.clone();
         if let Some(minion) = self.routes.get_mut(&pool).and_then(|route| route.minions.get_mut(vm))
--- a/crates/coordination/src/core/control.rs
+++ b/crates/coordination/src/core/control.rs
@@ -41,7 +41,7 @@
 
 impl Core {
     pub(super) fn control(&mut self, token: Token, request: ControlRequest) {
-        if super::is_submitters(&request)
+        if request.is_submitters()
             && let Err(refused) = self.check_accepting()
         {
             return self.answer(token, ControlAnswer::Refused(refused));
--- a/crates/coordination/src/core/mod.rs
+++ b/crates/coordination/src/core/mod.rs
@@ -27,8 +27,7 @@
 use crate::document::DocumentWriter;
 use crate::estimate::ServiceEstimate;
 use crate::event::{
-    Clock, ControlAnswer, ControlRequest, Decision, Effect, Event, IoCall, Listing,
-    PlatformRequest, Token,
+    Clock, ControlAnswer, Decision, Effect, Event, IoCall, Listing, PlatformRequest, Token,
 };
 use crate::mutate::claim::{ClaimMutation, ClaimResult};
 use crate::mutate::config::{self, ConfigMutation, ConfigResult};
@@ -347,11 +346,3 @@
         self.calls.len()
     }
 }
-
-/// Whether a control request needs the operators' key rather than a team's.
-pub(crate) fn is_submitters(request: &ControlRequest) -> bool {
-    matches!(
-        request,
-        ControlRequest::Submit { .. } | ControlRequest::Job { .. } | ControlRequest::Cancel { .. }
-    )
-}
--- a/crates/coordination/src/core/tasks.rs
+++ b/crates/coordination/src/core/tasks.rs
@@ -40,7 +40,6 @@
 pub(crate) struct WorkerCallInfo {
     worker: VmId,
     start: Option<(JobId, u32)>,
-    sent: Moment,
 }
 
 impl Core {
@@ -102,7 +101,7 @@
         let Some(listing) = self.listing.get(worker) else { return };
         let address = listing.address.clone();
         let call = self.next_io();
-        let info = WorkerCallInfo { worker: worker.clone(), start, sent: self.now() };
+        let info = WorkerCallInfo { worker: worker.clone(), start };
         self.worker_calls.insert(call, info);
         self.emit(Effect::Worker { call, address, request });
     }
@@ -191,7 +190,7 @@
                 view.tasks = tasks.into_iter().map(|task| (task.job.clone(), task)).collect();
             }
             WorkerAnswer::Started => self.task_started(&info),
-            WorkerAnswer::Declined { reason } => self.start_declined(&info, &reason),
+            WorkerAnswer::Declined { .. } => self.start_declined(&info),
             WorkerAnswer::Stopping => {}
             WorkerAnswer::NotSent | WorkerAnswer::Unknown => {
                 view.polling = false;
@@ -207,8 +206,7 @@
 
     /// A declined start is asked for again under a new lease; the next poll is
     /// due at once.
-    fn start_declined(&mut self, info: &WorkerCallInfo, reason: &str) {
-        let _ = (reason, info.sent);
+    fn start_declined(&mut self, info: &WorkerCallInfo) {
         self.view(&info.worker).polled = None;
     }
 }
--- a/crates/coordination/src/event.rs
+++ b/crates/coordination/src/event.rs
@@ -353,6 +353,13 @@
     },
 }
 
+impl ControlRequest {
+    /// Whether a team's key is needed for it, and not the operators'.
+    pub fn is_submitters(&self) -> bool {
+        matches!(self, Self::Submit { .. } | Self::Job { .. } | Self::Cancel { .. })
+    }
+}
+
 /// The answer to a [`ControlRequest`].
 #[derive(Debug, Clone, PartialEq)]
 pub enum ControlAnswer {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -8,9 +8,7 @@
 use std::time::{Duration, Instant};
 
 use coordination::timing::DECISION_AGE;
-use coordination::{
-    CallArrival, CallEnding, CallVerdict, ControlRequest, Event, Refusal, RefusalKind, Token,
-};
+use coordination::{CallArrival, CallEnding, CallVerdict, Event, Refusal, RefusalKind, Token};
 use crossbeam::channel::Receiver;
 use eyre::{Context, Result};
 use protocol::{
@@ -157,7 +155,7 @@
             }
         };
         let is_operator = key.is_some_and(|key| self.operator_key.matches(&key));
-        if !is_submitters(&asked) && !is_operator {
+        if !asked.is_submitters() && !is_operator {
             let reason = "the operators' key is needed, and the key shown is not it";
             return answer_plain(request, refused(401, reason));
         }
@@ -169,13 +167,6 @@
     }
 }
 
-fn is_submitters(request: &ControlRequest) -> bool {
-    matches!(
-        request,
-        ControlRequest::Submit { .. } | ControlRequest::Job { .. } | ControlRequest::Cancel { .. }
-    )
-}
-
 fn plan_call(request: &Request, rest: &str, token: Token) -> Result<CallPlan, PlainAnswer> {
     let (pool, path) = rest.split_once('/').unwrap_or((rest, ""));
     let pool: PoolId =
