--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -26,6 +26,7 @@
 mod estimate;
 mod event;
 mod frame;
+mod io;
 pub mod mutate;
 mod queue;
 mod retry;
