--- /dev/null
+++ b/crates/daemon/src/carrier/front.rs
@@ -0,0 +1,87 @@
+//! Takes submitters' requests in, and answers them.
+
+use std::sync::Arc;
+
+use eyre::{Context, Result, eyre};
+use fleet::{ClientAnswer, Event, RequestToken};
+use platform::{ClientHead, PlatformSettings};
+use tiny_http::{Header, Request, Response};
+use transport::{HttpServer, read_body};
+
+use super::host::FleetHost;
+
+/// Threads that read requests: a body that comes slowly holds one of them.
+const READERS: usize = 3;
+
+/// Starts taking requests.
+///
+/// # Errors
+///
+/// The reason why the address cannot be listened on or a thread not started.
+pub fn start(settings: &PlatformSettings, host: &Arc<FleetHost>) -> Result<()> {
+    let server = HttpServer::listen(settings.submitters).map_err(|reason| eyre!("{reason}"))?;
+    let server = Arc::new(server);
+    for _ in 0..READERS {
+        let (server, host) = (Arc::clone(&server), Arc::clone(host));
+        let reader = std::thread::Builder::new().name("reader".into());
+        reader
+            .spawn(move || {
+                while let Some(request) = server.receive() {
+                    take(&host, request);
+                }
+            })
+            .wrap_err("reader thread")?;
+    }
+    Ok(())
+}
+
+fn take(host: &Arc<FleetHost>, mut request: Request) {
+    let body = match read_body(&mut request) {
+        Ok(body) => body,
+        Err(fault) => {
+            tracing::warn!(url = request.url(), %fault, "request refused");
+            return respond(request, &ClientAnswer::Malformed(fault.to_string().into()));
+        }
+    };
+    let head = head_of(&request);
+    let token = host.admit(request);
+    match platform::decode_client(token, &head, &body) {
+        Ok(call) => host.post(Event::Client(call)),
+        Err(answer) => refuse(host, token, &head, &answer),
+    }
+}
+
+fn refuse(host: &FleetHost, token: RequestToken, head: &ClientHead, answer: &ClientAnswer) {
+    tracing::warn!(url = &*head.url, answer = ?answer, "request refused");
+    host.answer(token, answer);
+}
+
+fn head_of(request: &Request) -> ClientHead {
+    let headers = request
+        .headers()
+        .iter()
+        .map(|header| (header.field.as_str().as_str().into(), header.value.as_str().into()));
+    ClientHead {
+        method: request.method().as_str().into(),
+        url: request.url().into(),
+        headers: headers.collect(),
+    }
+}
+
+/// Writes an answer; a caller that has gone needs none.
+pub fn respond(request: Request, answer: &ClientAnswer) {
+    let reply = platform::encode_answer(answer);
+    let mut response = Response::from_string(String::from(reply.body))
+        .with_status_code(reply.status)
+        .with_header(header("Content-Type", "application/json"));
+    if let Some(seconds) = reply.retry_after_s {
+        response = response.with_header(header("Retry-After", &seconds.to_string()));
+    }
+    if let Err(error) = request.respond(response) {
+        tracing::debug!(%error, "the caller had gone");
+    }
+}
+
+fn header(name: &str, value: &str) -> Header {
+    Header::from_bytes(name, value).expect("header names and values are plain ASCII")
+}
--- /dev/null
+++ b/crates/daemon/src/carrier/meters.rs
@@ -0,0 +1,175 @@
+//! Counters and latency histograms, as text.
+
+use std::fmt::Write;
+
+use fleet::io::{MinionAnswer, MinionCall, StoreAnswer, StoreCall};
+use fleet::{ClientAnswer, DecisionLine};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use state::Millis;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+type Latencies = Family<KindLabel, Histogram, fn() -> Histogram>;
+
+/// Upper bounds from 1 ms to 4 s, each twice the one before.
+fn latency() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 13))
+}
+
+fn latencies() -> Latencies {
+    Family::new_with_constructor(latency)
+}
+
+/// Everything that is counted.
+pub struct Meters {
+    registry: Registry,
+    answers: Family<OutcomeLabels, Counter>,
+    answer_seconds: Latencies,
+    store_calls: Family<OutcomeLabels, Counter>,
+    store_seconds: Latencies,
+    orders: Family<OutcomeLabels, Counter>,
+    order_seconds: Latencies,
+    decisions: Family<KindLabel, Counter>,
+    /// Lines that found the ring full.
+    pub dropped_lines: Counter,
+}
+
+impl Default for Meters {
+    fn default() -> Self {
+        let mut meters = Self {
+            registry: Registry::with_prefix("pollenfall"),
+            answers: Family::default(),
+            answer_seconds: latencies(),
+            store_calls: Family::default(),
+            store_seconds: latencies(),
+            orders: Family::default(),
+            order_seconds: latencies(),
+            decisions: Family::default(),
+            dropped_lines: Counter::default(),
+        };
+        let registry = &mut meters.registry;
+        registry.register("answers", "Answers to submitters", meters.answers.clone());
+        registry.register(
+            "answer_seconds",
+            "From a request to its answer",
+            meters.answer_seconds.clone(),
+        );
+        registry.register("store_calls", "Calls to the store", meters.store_calls.clone());
+        registry.register(
+            "store_seconds",
+            "From a call to the store to its answer",
+            meters.store_seconds.clone(),
+        );
+        registry.register("orders", "Orders to minions", meters.orders.clone());
+        registry.register(
+            "order_seconds",
+            "From an order to its answer",
+            meters.order_seconds.clone(),
+        );
+        registry.register("decisions", "Decisions, as logged", meters.decisions.clone());
+        registry.register(
+            "dropped_lines",
+            "Log lines that found the ring full",
+            meters.dropped_lines.clone(),
+        );
+        meters
+    }
+}
+
+fn seconds(span: Millis) -> f64 {
+    span.0 as f64 / 1_000.0
+}
+
+impl Meters {
+    /// All metrics.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            text.clear();
+            let _ = write!(text, "# the metrics cannot be encoded: {error}");
+        }
+        text
+    }
+
+    pub fn answered(&self, answer: &ClientAnswer, span: Millis) {
+        let outcome = answer_word(answer);
+        self.answers.get_or_create(&OutcomeLabels { kind: "submitter", outcome }).inc();
+        self.answer_seconds.get_or_create(&KindLabel { kind: outcome }).observe(seconds(span));
+    }
+
+    pub fn store_answered(&self, call: &StoreCall, answer: &StoreAnswer, span: Millis) {
+        let kind = store_word(call);
+        let outcome = match answer {
+            StoreAnswer::Refused => "refused",
+            StoreAnswer::Unknown => "unknown",
+            StoreAnswer::Conflict(_) => "conflict",
+            StoreAnswer::Absent => "absent",
+            StoreAnswer::Compacted => "compacted",
+            _ => "done",
+        };
+        self.store_calls.get_or_create(&OutcomeLabels { kind, outcome }).inc();
+        self.store_seconds.get_or_create(&KindLabel { kind }).observe(seconds(span));
+    }
+
+    pub fn order_answered(&self, order: &MinionCall, answer: &MinionAnswer, span: Millis) {
+        let kind = match order {
+            MinionCall::Start { .. } => "start",
+            MinionCall::Stop { .. } => "stop",
+            MinionCall::Hold { .. } => "hold",
+            MinionCall::Pace { .. } => "pace",
+        };
+        let outcome = match answer {
+            MinionAnswer::Ok { .. } | MinionAnswer::Held { .. } => "done",
+            MinionAnswer::Refused(_) => "refused",
+            MinionAnswer::WrongLife => "wrong-life",
+            MinionAnswer::Unknown => "unknown",
+        };
+        self.orders.get_or_create(&OutcomeLabels { kind, outcome }).inc();
+        self.order_seconds.get_or_create(&KindLabel { kind }).observe(seconds(span));
+    }
+
+    pub fn decided(&self, line: &DecisionLine) {
+        self.decisions.get_or_create(&KindLabel { kind: line.decision }).inc();
+    }
+}
+
+fn answer_word(answer: &ClientAnswer) -> &'static str {
+    match answer {
+        ClientAnswer::Accepted => "accepted",
+        ClientAnswer::Phase(_) => "phase",
+        ClientAnswer::Cancelled => "cancelled",
+        ClientAnswer::NoJob => "no-job",
+        ClientAnswer::Pending(_) => "pending",
+        ClientAnswer::NoQueue => "no-queue",
+        ClientAnswer::BadKey => "bad-key",
+        ClientAnswer::Malformed(_) => "malformed",
+        ClientAnswer::NotDone { .. } => "not-done",
+        ClientAnswer::Unknown => "unknown",
+    }
+}
+
+fn store_word(call: &StoreCall) -> &'static str {
+    match call {
+        StoreCall::Read(_) => "read",
+        StoreCall::Range { .. } => "range",
+        StoreCall::Watch { .. } => "watch",
+        StoreCall::Commit(_) => "commit",
+        StoreCall::Lease(_) => "lease",
+        StoreCall::Renew(_) => "renew",
+        StoreCall::EndLease(_) => "end-lease",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/carrier/reload.rs
@@ -0,0 +1,64 @@
+//! Signals, and settings that change.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::Result;
+use fleet::Event;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use super::host::FleetHost;
+use super::{read_settings, settings_path};
+
+/// How often the file is looked at: it may change without a signal.
+const LOOK_PERIOD: Duration = Duration::from_secs(1);
+
+/// Starts following signals and the settings file.
+///
+/// # Errors
+///
+/// The reason why signals cannot be followed or a thread not started.
+pub fn start(host: &Arc<FleetHost>) -> Result<()> {
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
+    let signalled = Arc::clone(host);
+    std::thread::Builder::new().name("signals".into()).spawn(move || {
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                reload(&signalled, "signal");
+            } else {
+                tracing::info!(signal, "stopping");
+                signalled.post(Event::Stop);
+            }
+        }
+    })?;
+    let looking = Arc::clone(host);
+    std::thread::Builder::new().name("settings".into()).spawn(move || {
+        let mut known = std::fs::read(settings_path()).ok();
+        loop {
+            std::thread::sleep(LOOK_PERIOD);
+            let found = std::fs::read(settings_path()).ok();
+            if found.is_some() && found != known {
+                known = found;
+                reload(&looking, "file");
+            }
+        }
+    })?;
+    Ok(())
+}
+
+/// Takes changed settings; faulty ones are logged, and the old ones stay.
+fn reload(host: &FleetHost, cause: &str) {
+    let current = host.settings();
+    match read_settings(current.fleet.incarnation) {
+        Ok(settings) => {
+            let is_changed = settings != *current;
+            let needs_restart = settings.submitters != current.submitters
+                || settings.readiness != current.readiness
+                || settings.fleet != current.fleet;
+            tracing::info!(cause, is_changed, needs_restart, "reloaded");
+            host.replace_settings(settings);
+        }
+        Err(error) => tracing::error!(cause, error = format!("{error:#}"), "reload refused"),
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,7 @@
 //! lock. Every thread has one duty: it brings events to the machine, or carries
 //! effects out that it takes from a bounded ring (`docs/DESIGN.md`, "Threads").
 
+mod carrier;
 mod front;
 mod logs;
 mod machine;
@@ -12,14 +13,14 @@
 mod ring;
 mod signals;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use bpaf::Bpaf;
 use crossbeam::channel::bounded;
 use eyre::{Context, Result, eyre};
-use state::{DaemonSettings, parse_daemon_settings};
+use state::{DaemonSettings, Incarnation, parse_daemon_settings};
 use transport::{HttpServer, PeerSettings, start_peer_link};
 
 use machine::Machine;
@@ -30,8 +31,11 @@
 #[bpaf(options, version)]
 struct Arguments {
     /// Settings file: JSON with comments.
-    #[bpaf(long, argument("FILE"))]
-    settings: PathBuf,
+    #[bpaf(long, argument("FILE"), optional)]
+    settings: Option<PathBuf>,
+    /// Run on the users' platform, with the settings file that it has put in place.
+    #[bpaf(long)]
+    platform: bool,
     /// Only check the settings, and list every fault.
     #[bpaf(long)]
     check_settings: bool,
@@ -49,17 +53,29 @@
 }
 
 fn run(arguments: &Arguments) -> Result<()> {
-    let settings = read_settings(arguments)?;
+    if arguments.platform {
+        return run_on_platform(arguments);
+    }
+    let path = arguments.settings.as_deref().ok_or_else(|| eyre!("--settings is missing"))?;
+    let settings = read_settings(path)?;
     if arguments.check_settings {
-        println!("{}: no faults", arguments.settings.display());
+        println!("{}: no faults", path.display());
         return Ok(());
     }
     logs::start(&settings).map_err(|reason| eyre!("log_filter: {reason}"))?;
     serve(settings)
 }
 
-fn read_settings(arguments: &Arguments) -> Result<DaemonSettings> {
-    let path = &arguments.settings;
+fn run_on_platform(arguments: &Arguments) -> Result<()> {
+    if arguments.check_settings {
+        carrier::read_settings(Incarnation(0))?;
+        println!("{}: no faults", carrier::settings_path().display());
+        return Ok(());
+    }
+    carrier::run()
+}
+
+fn read_settings(path: &Path) -> Result<DaemonSettings> {
     let text = std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
     parse_daemon_settings(&text).map_err(|faults| {
         let lines: Vec<String> = faults.iter().map(|fault| format!("  {fault}")).collect();
--- /dev/null
+++ b/crates/fleet/src/core.rs
@@ -0,0 +1,250 @@
+//! Routes events to the parts.
+
+use std::collections::BTreeMap;
+
+use state::{Moment, PoolId, Revision};
+
+use crate::event::{Clock, Effect, Event};
+use crate::intake::Intake;
+use crate::model::FleetSettings;
+use crate::outbox::{CallPurpose, Outbox};
+use crate::pool::{PoolOwner, StepContext};
+use crate::registry::Registry;
+use crate::session::Session;
+use crate::shared::{SharedChanges, SharedIndex};
+use crate::timing::STOP_PATIENCE;
+
+/// All decisions of one daemon.
+#[derive(Debug)]
+pub struct FleetCore {
+    settings: FleetSettings,
+    shared: SharedIndex,
+    session: Session,
+    intake: Intake,
+    registry: Registry,
+    pools: BTreeMap<PoolId, PoolOwner>,
+    /// Pools that this daemon gave up while their record still named it.
+    given_up: BTreeMap<PoolId, Revision>,
+    out: Outbox,
+    stopping_since: Option<Moment>,
+    is_stopped: bool,
+}
+
+impl FleetCore {
+    /// A daemon that has seen no event.
+    pub fn new(settings: FleetSettings) -> Self {
+        let session = Session::new(settings.daemon.clone(), settings.incarnation);
+        Self {
+            settings,
+            shared: SharedIndex::default(),
+            session,
+            intake: Intake::default(),
+            registry: Registry::default(),
+            pools: BTreeMap::new(),
+            given_up: BTreeMap::new(),
+            out: Outbox::default(),
+            stopping_since: None,
+            is_stopped: false,
+        }
+    }
+
+    /// Whether submitters may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.stopping_since.is_none() && self.shared.is_loaded() && self.shared.config.is_some()
+    }
+
+    /// Takes one event; what is to be done about it.
+    pub fn step(&mut self, clock: Clock, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Tick => self.tick(clock),
+            Event::Client(call) => self.intake.on_call(clock, &mut self.out, &self.shared, call),
+            Event::Store(call, answer) => {
+                if let Some((purpose, sent)) = self.out.close(call) {
+                    self.on_store(clock, purpose, sent, answer);
+                }
+            }
+            Event::Minion(call, answer) => {
+                if let Some((CallPurpose::Pool(pool, call), sent)) = self.out.close(call) {
+                    self.with_pool(clock, &pool, |owner, context| {
+                        owner.on_minion(context, call, sent, answer);
+                    });
+                }
+            }
+            Event::Cloud(call, answer) => {
+                if let Some((CallPurpose::Pool(pool, call), _)) = self.out.close(call) {
+                    self.with_pool(clock, &pool, |owner, context| {
+                        owner.on_cloud(context, call, answer);
+                    });
+                }
+            }
+            Event::Stop => {
+                self.stopping_since = Some(clock.now);
+                self.pools.clear();
+                self.session.close(clock, &mut self.out);
+            }
+        }
+        self.finish_stop(clock);
+        self.out.take_effects()
+    }
+
+    fn tick(&mut self, clock: Clock) {
+        self.shared.on_tick(clock, &mut self.out);
+        self.session.on_tick(clock, &mut self.out, &self.shared, self.pools.len());
+        if !self.pools.is_empty() {
+            self.registry.on_tick(clock, &mut self.out);
+        }
+        self.intake.on_tick(clock, &mut self.out, &self.shared);
+        self.each_pool(clock, |owner, context| owner.on_tick(context));
+        self.drop_lost(clock);
+        self.follow_owners(clock);
+        self.release_given_up(clock);
+    }
+
+    /// A pool that was given up is taken again only under a new token: run numbers
+    /// and fences of the old one may be in use.
+    fn release_given_up(&mut self, clock: Clock) {
+        let owners = &self.shared.owners;
+        self.given_up
+            .retain(|pool, token| owners.get(pool).is_some_and(|owner| owner.created == *token));
+        if self.session.is_valid(clock.now) {
+            for (pool, token) in &self.given_up {
+                self.session.release(clock, &mut self.out, pool, *token);
+            }
+        }
+    }
+
+    fn on_store(
+        &mut self,
+        clock: Clock,
+        purpose: CallPurpose,
+        sent: Moment,
+        answer: crate::io::StoreAnswer,
+    ) {
+        match purpose {
+            CallPurpose::Shared(_) => {
+                let changes = self.shared.on_answer(clock, &mut self.out, answer);
+                self.on_shared(clock, changes);
+            }
+            CallPurpose::Session(call) => {
+                let taken = self.session.on_answer(clock, &mut self.out, call, sent, answer);
+                if let Some((pool, token)) = taken {
+                    self.own(clock, pool, token);
+                }
+            }
+            CallPurpose::Intake(call) => {
+                self.intake.on_answer(clock, &mut self.out, &self.shared, call, answer);
+            }
+            CallPurpose::Registry => {
+                if self.registry.on_answer(clock, &mut self.out, answer) {
+                    self.each_pool(clock, |owner, context| owner.on_registry(context));
+                }
+            }
+            CallPurpose::Pool(pool, call) => {
+                self.with_pool(clock, &pool, |owner, context| {
+                    owner.on_store(context, call, answer);
+                });
+            }
+        }
+        self.drop_lost(clock);
+    }
+
+    fn on_shared(&mut self, clock: Clock, changes: SharedChanges) {
+        if changes.owners {
+            self.follow_owners(clock);
+        }
+        for (pool, job) in &changes.outcomes {
+            self.with_pool(clock, pool, |owner, context| owner.on_outcome(context, job));
+        }
+        self.each_pool(clock, |owner, context| owner.go_on(context));
+    }
+
+    /// Takes over what a commit without an answer gave this daemon, and gives up
+    /// what others own.
+    fn follow_owners(&mut self, clock: Clock) {
+        if self.stopping_since.is_some() {
+            return;
+        }
+        let mut found = Vec::new();
+        for (pool, owner) in &self.shared.owners {
+            let is_mine = self.session.is_mine(&owner.record);
+            match self.pools.get_mut(pool) {
+                None if is_mine && !self.given_up.contains_key(pool) => {
+                    found.push((pool.clone(), owner.created))
+                }
+                Some(known) if owner.created > known.token() && !is_mine => known.is_lost = true,
+                _ => {}
+            }
+        }
+        for (pool, token) in found {
+            if self.session.is_valid(clock.now) {
+                self.own(clock, pool, token);
+            }
+        }
+    }
+
+    fn own(&mut self, clock: Clock, pool: PoolId, token: Revision) {
+        if self.stopping_since.is_some() || self.pools.contains_key(&pool) {
+            return;
+        }
+        let mut context = StepContext {
+            clock,
+            out: &mut self.out,
+            shared: &self.shared,
+            registry: &self.registry,
+            settings: &self.settings,
+            is_valid: self.session.is_valid(clock.now),
+        };
+        let owner = PoolOwner::new(pool.clone(), token, &mut context);
+        self.pools.insert(pool, owner);
+    }
+
+    fn drop_lost(&mut self, clock: Clock) {
+        let is_valid = self.session.is_valid(clock.now);
+        let lost: Vec<(PoolId, Revision)> = self
+            .pools
+            .iter()
+            .filter(|(_, owner)| owner.is_lost || !is_valid)
+            .map(|(pool, owner)| (pool.clone(), owner.token()))
+            .collect();
+        for (pool, token) in lost {
+            let inputs = format!("session valid: {is_valid}");
+            self.out.log("pool", &pool, inputs, "given up");
+            self.pools.remove(&pool);
+            self.given_up.insert(pool, token);
+        }
+    }
+
+    fn finish_stop(&mut self, clock: Clock) {
+        let Some(since) = self.stopping_since.filter(|_| !self.is_stopped) else { return };
+        let is_idle = self.session.is_closed && self.intake.open_requests() == 0;
+        if is_idle || clock.now - since >= STOP_PATIENCE {
+            self.is_stopped = true;
+            self.out.stopped();
+        }
+    }
+
+    fn with_pool(
+        &mut self,
+        clock: Clock,
+        pool: &PoolId,
+        act: impl FnOnce(&mut PoolOwner, &mut StepContext),
+    ) {
+        let Some(owner) = self.pools.get_mut(pool) else { return };
+        let mut context = StepContext {
+            clock,
+            out: &mut self.out,
+            shared: &self.shared,
+            registry: &self.registry,
+            settings: &self.settings,
+            is_valid: self.session.is_valid(clock.now),
+        };
+        act(owner, &mut context);
+    }
+
+    fn each_pool(&mut self, clock: Clock, act: impl Fn(&mut PoolOwner, &mut StepContext)) {
+        let names: Vec<PoolId> = self.pools.keys().cloned().collect();
+        for pool in names {
+            self.with_pool(clock, &pool, &act);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/pool/ends.rs
@@ -0,0 +1,377 @@
+//! What minions answer: runs that started, run and have ended.
+
+use std::collections::BTreeMap;
+
+use jobs::{JobPhase, RunNumber, TaskMark, TaskName};
+use state::{JobId, MinionId, Moment, Revision};
+
+use super::job::{LiveRun, place_of, task_name};
+use super::minion::{MinionRun, RunPhase};
+use super::{PoolOwner, StepContext};
+use crate::io::{EndKind, EndedRow, MinionAnswer, OrderRefusal, RunningRow};
+use crate::timing::{HOLD_RETRY, REFUSAL_PAUSE};
+
+impl PoolOwner {
+    pub(super) fn on_started(
+        &mut self,
+        context: &mut StepContext,
+        id: &MinionId,
+        born: u64,
+        task: &TaskName,
+        run: RunNumber,
+        answer: MinionAnswer,
+    ) {
+        let now = context.clock.now;
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        if minion.report.born != born {
+            return;
+        }
+        match answer {
+            MinionAnswer::Ok { clock_ms } => {
+                minion.set_clock(clock_ms, now);
+                if let Some(known) = minion.runs.get_mut(task)
+                    && known.run == run
+                    && matches!(known.phase, RunPhase::Starting { .. })
+                {
+                    known.phase = RunPhase::Running;
+                    known.known_at = now;
+                }
+            }
+            MinionAnswer::Refused(reason) => {
+                if matches!(reason, OrderRefusal::Room | OrderRefusal::Unhealthy) {
+                    minion.pause_until = now + REFUSAL_PAUSE;
+                }
+                context.out.log(
+                    "start-refused",
+                    task,
+                    format!("run {run} on {id}"),
+                    format!("{reason:?}"),
+                );
+                if reason == OrderRefusal::Fenced {
+                    self.is_lost = true;
+                    return;
+                }
+                self.end_run(id, task, run);
+                self.stop_gang(context, task);
+            }
+            MinionAnswer::WrongLife => {
+                minion.next_hold = now;
+                minion.pause_until = now + REFUSAL_PAUSE;
+                self.end_run(id, task, run);
+            }
+            // A hold shows whether it runs; until then it counts as running.
+            MinionAnswer::Unknown | MinionAnswer::Held { .. } => {
+                context.out.log("start-unanswered", task, format!("run {run} on {id}"), "waits");
+                minion.pause_until = now + REFUSAL_PAUSE;
+            }
+        }
+    }
+
+    pub(super) fn on_held(
+        &mut self,
+        context: &mut StepContext,
+        id: &MinionId,
+        born: u64,
+        sent: Moment,
+        answer: MinionAnswer,
+    ) {
+        let now = context.clock.now;
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        minion.is_holding = false;
+        match answer {
+            MinionAnswer::Held { clock_ms, born: shown, running, ended } => {
+                if shown != minion.report.born {
+                    if shown < minion.report.born || born != minion.report.born {
+                        return;
+                    }
+                    self.begin_life(context, id, shown);
+                }
+                self.take_lists(context, id, sent, clock_ms, running, ended);
+            }
+            MinionAnswer::Refused(OrderRefusal::Fenced) => {
+                context.out.log("pool", &self.pool, format!("{id} has a later owner"), "lost");
+                self.is_lost = true;
+            }
+            other => {
+                if minion.next_hold <= now {
+                    let inputs = format!("{other:?}");
+                    context.out.log("hold-failed", id, inputs, "asked again");
+                }
+                minion.next_hold = now + HOLD_RETRY;
+                minion.pause_until = now + HOLD_RETRY;
+            }
+        }
+    }
+
+    fn take_lists(
+        &mut self,
+        context: &mut StepContext,
+        id: &MinionId,
+        sent: Moment,
+        clock_ms: u64,
+        running: Vec<RunningRow>,
+        ended: Vec<EndedRow>,
+    ) {
+        let now = context.clock.now;
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        minion.set_clock(clock_ms, now);
+        minion.next_hold = now;
+        if !minion.is_fenced {
+            minion.is_fenced = true;
+            self.save.is_roster_dirty = true;
+        }
+        for row in ended {
+            self.take_end(context, id, row);
+        }
+        let mut listed: BTreeMap<TaskName, RunNumber> = BTreeMap::new();
+        for row in running {
+            listed.insert(row.task.clone(), row.run);
+            self.take_running(context, id, row);
+        }
+        self.drop_missing(context, id, sent, clock_ms, &listed);
+        self.stage.unseen.remove(id);
+        self.pace_fillers(context, id);
+    }
+
+    fn take_end(&mut self, context: &mut StepContext, id: &MinionId, row: EndedRow) {
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        if row.number <= minion.seen {
+            return;
+        }
+        minion.seen = row.number;
+        self.save.has_ends = true;
+        let EndedRow { number, task, run, kind, checkpoint } = row;
+        context.out.log(
+            "end",
+            &task,
+            format!("run {run} on {id}, end {number}"),
+            format!("{kind:?}"),
+        );
+        self.end_run(id, &task, run);
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let place = place_of(&task);
+        if let Some(checkpoint) = checkpoint {
+            job.checkpoints.insert(place, checkpoint);
+        }
+        match kind {
+            EndKind::Done => self.task_done(context, &task),
+            EndKind::Failed => self.task_failed(context, &task),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+        }
+    }
+
+    fn task_done(&mut self, context: &mut StepContext, task: &TaskName) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let (occurrence, step, index) = place_of(task);
+        let Some(spec) = job.spec.steps.get(usize::from(step)) else { return };
+        if spec.lasting || job.phase.is_final() {
+            return;
+        }
+        // One done member stands for its whole gang.
+        let members = if spec.gang { 0..spec.tasks } else { index..index + 1 };
+        for member in members {
+            job.progress.set(occurrence, step, member, TaskMark::Done);
+            job.withdraw((occurrence, step, member));
+            job.checkpoints.remove(&(occurrence, step, member));
+        }
+        job.is_progress_dirty = true;
+        if job.progress.is_complete(&job.spec) {
+            job.phase = JobPhase::Complete;
+            job.is_phase_dirty = true;
+            let job = task.job.clone();
+            self.stop_job(context, &job);
+        } else if job.progress.is_step_done(&job.spec, occurrence, step) {
+            job.open_steps(context.clock.wall_ms);
+        }
+    }
+
+    fn task_failed(&mut self, context: &mut StepContext, task: &TaskName) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let place = place_of(task);
+        let TaskMark::Open(failed) = job.progress.mark(place.0, place.1, place.2) else { return };
+        let is_lasting = job.spec.steps.get(usize::from(place.1)).is_none_or(|step| step.lasting);
+        if is_lasting || job.phase.is_final() {
+            return;
+        }
+        job.progress.set(place.0, place.1, place.2, TaskMark::Open(failed + 1));
+        job.is_progress_dirty = true;
+        let config = context.shared.config.as_ref();
+        let queue = job.queue.as_ref().and_then(|queue| config?.queue(queue));
+        // Without its queue's configuration a job is not given up.
+        let attempts = queue.map_or(u32::MAX, |queue| queue.attempts);
+        if u32::from(failed) + 1 >= attempts {
+            job.phase = JobPhase::Failed;
+            job.is_phase_dirty = true;
+            job.ready.clear();
+            let inputs = format!("{} failed {} times", task, failed + 1);
+            context.out.log("job", &task.job, inputs, "failed");
+            let job = task.job.clone();
+            self.stop_job(context, &job);
+        }
+    }
+
+    fn take_running(&mut self, context: &mut StepContext, id: &MinionId, row: RunningRow) {
+        let now = context.clock.now;
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        if let Some(known) = minion.runs.get_mut(&row.task)
+            && known.run == row.run
+        {
+            if matches!(known.phase, RunPhase::Starting { .. }) {
+                known.phase = RunPhase::Running;
+                known.known_at = now;
+            }
+            known.percent = row.percent;
+            known.gauge = row.gauge;
+            if let (Some(checkpoint), Some(job)) =
+                (row.checkpoint, self.jobs.get_mut(&row.task.job))
+            {
+                job.checkpoints.insert(place_of(&row.task), checkpoint);
+            }
+            return;
+        }
+        self.adopt_or_stop(context, id, row);
+    }
+
+    /// A run that this owner did not start: it goes on if its task needs it.
+    fn adopt_or_stop(&mut self, context: &mut StepContext, id: &MinionId, row: RunningRow) {
+        let place = place_of(&row.task);
+        let now = context.clock.now;
+        let job = self.jobs.get_mut(&row.task.job);
+        let takes = job
+            .as_ref()
+            .and_then(|job| job.spec.steps.get(usize::from(place.1)))
+            .map(super::place::takes_of)
+            .unwrap_or_default();
+        let is_wanted = job.as_ref().is_some_and(|job| {
+            !job.phase.is_final()
+                && !job.live.contains_key(&place)
+                && job.progress.mark(place.0, place.1, place.2) != TaskMark::Done
+        });
+        let inputs = format!("run {} on {id}", row.run);
+        let outcome = if is_wanted { "adopted" } else { "stopped as not wanted" };
+        context.out.log("unknown-run", &row.task, inputs, outcome);
+        if let (true, Some(job)) = (is_wanted, job) {
+            job.live.insert(place, LiveRun { minion: id.clone(), run: row.run });
+            job.withdraw(place);
+            if job.phase == JobPhase::Queued {
+                job.phase = JobPhase::Active;
+                job.is_phase_dirty = true;
+            }
+        }
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        let run = MinionRun {
+            run: row.run,
+            phase: RunPhase::Running,
+            takes,
+            percent: row.percent,
+            gauge: row.gauge,
+            pace: 100,
+            known_at: now,
+        };
+        minion.insert_run(row.task.clone(), run);
+        if !is_wanted {
+            self.stop_run(context, id, &row.task);
+        }
+    }
+
+    /// Gives up runs that a minion should list and does not.
+    fn drop_missing(
+        &mut self,
+        context: &mut StepContext,
+        id: &MinionId,
+        sent: Moment,
+        clock_ms: u64,
+        listed: &BTreeMap<TaskName, RunNumber>,
+    ) {
+        let Some(minion) = self.minions.get(id) else { return };
+        let is_missing = |task: &TaskName, run: &MinionRun| {
+            let is_listed = listed.get(task) == Some(&run.run);
+            let should_be = match run.phase {
+                RunPhase::Starting { until_clock } => clock_ms > until_clock,
+                _ => run.known_at < sent,
+            };
+            should_be && !is_listed
+        };
+        let missing: Vec<(TaskName, RunNumber)> = minion
+            .runs
+            .iter()
+            .filter(|(task, run)| is_missing(task, run))
+            .map(|(task, run)| (task.clone(), run.run))
+            .collect();
+        for (task, run) in missing {
+            context.out.log("run", &task, format!("run {run} on {id}"), "never ran or is gone");
+            self.end_run(id, &task, run);
+        }
+    }
+
+    /// Forgets a run and lets its task start again.
+    pub(super) fn end_run(&mut self, id: &MinionId, task: &TaskName, run: RunNumber) {
+        if let Some(minion) = self.minions.get_mut(id) {
+            minion.remove_run(task, run);
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let place = place_of(task);
+        let is_live =
+            job.live.get(&place).is_some_and(|live| live.minion == *id && live.run == run);
+        if is_live {
+            job.live.remove(&place);
+            job.make_ready(place);
+        }
+    }
+
+    /// Stops what runs of a gang of which a member could not start.
+    fn stop_gang(&mut self, context: &mut StepContext, task: &TaskName) {
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let (occurrence, step, _) = place_of(task);
+        if job.spec.steps.get(usize::from(step)).is_none_or(|step| !step.gang) {
+            return;
+        }
+        let range = (occurrence, step, 0)..=(occurrence, step, u32::MAX);
+        let members: Vec<(MinionId, TaskName)> = job
+            .live
+            .range(range)
+            .map(|(place, live)| (live.minion.clone(), task_name(&task.job, *place)))
+            .collect();
+        for (minion, member) in members {
+            self.stop_run(context, &minion, &member);
+        }
+    }
+
+    /// Takes a phase that the store has.
+    pub(super) fn adopt_outcome(
+        &mut self,
+        context: &mut StepContext,
+        job: &JobId,
+        phase: JobPhase,
+        revision: Revision,
+    ) {
+        let key = (self.pool.clone(), job.clone());
+        let Some(owned) = self.jobs.get_mut(job) else { return };
+        if owned.queue.is_none() {
+            let known = context.shared.outcomes.get(&key);
+            owned.queue = known.map(|known| known.record.queue.clone());
+        }
+        if revision <= owned.outcome_revision {
+            return;
+        }
+        owned.outcome_revision = revision;
+        if phase == owned.phase {
+            owned.is_phase_dirty = false;
+        } else if phase.is_final() {
+            owned.phase = phase;
+            owned.is_phase_dirty = false;
+            owned.ready.clear();
+            context.out.log("job", job, format!("revision {revision}"), phase.to_string());
+            self.stop_job(context, job);
+        }
+    }
+
+    /// Opens steps whose time has come.
+    pub(super) fn open_due_steps(&mut self, context: &mut StepContext) {
+        for job in self.jobs.values_mut() {
+            if job.spec.timetable.is_some() {
+                job.open_steps(context.clock.wall_ms);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/pool/job.rs
@@ -0,0 +1,162 @@
+//! A job that a pool's owner carries.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jobs::{JobPhase, JobProgress, JobSpec, RunNumber, TaskMark, TaskName};
+use state::{JobId, MinionId, QueueId, Revision};
+
+use crate::model::QueueConfig;
+
+/// A task within its job: occurrence, step, index.
+pub(super) type TaskPlace = (u32, u16, u32);
+
+/// Where a task of a job runs, or may run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct LiveRun {
+    pub(super) minion: MinionId,
+    pub(super) run: RunNumber,
+}
+
+/// A job with what has ended and what runs.
+#[derive(Debug)]
+pub(super) struct OwnedJob {
+    pub(super) spec: JobSpec,
+    pub(super) queue: Option<QueueId>,
+    pub(super) phase: JobPhase,
+    pub(super) outcome_revision: Revision,
+    pub(super) progress: JobProgress,
+    pub(super) progress_revision: Revision,
+    /// Tasks that may start, by occurrence and step.
+    pub(super) ready: BTreeMap<(u32, u16), Vec<u32>>,
+    pub(super) live: BTreeMap<TaskPlace, LiveRun>,
+    pub(super) checkpoints: BTreeMap<TaskPlace, Box<str>>,
+    opened: BTreeSet<(u32, u16)>,
+    runs: u64,
+    /// The progress must be saved.
+    pub(super) is_progress_dirty: bool,
+    /// The phase must be saved.
+    pub(super) is_phase_dirty: bool,
+    /// An earlier owner may have started some of it.
+    pub(super) is_inherited: bool,
+}
+
+impl OwnedJob {
+    pub(super) fn new(spec: JobSpec, phase: JobPhase, outcome_revision: Revision) -> Self {
+        Self {
+            spec,
+            queue: None,
+            phase,
+            outcome_revision,
+            progress: JobProgress::default(),
+            progress_revision: Revision(0),
+            ready: BTreeMap::new(),
+            live: BTreeMap::new(),
+            checkpoints: BTreeMap::new(),
+            opened: BTreeSet::new(),
+            runs: 0,
+            is_progress_dirty: false,
+            is_phase_dirty: false,
+            is_inherited: false,
+        }
+    }
+
+    /// Whether it must be saved.
+    pub(super) fn is_dirty(&self) -> bool {
+        self.is_progress_dirty || self.is_phase_dirty || self.is_finished()
+    }
+
+    /// Whether its records can go.
+    pub(super) fn is_finished(&self) -> bool {
+        self.phase.is_final() && self.live.is_empty()
+    }
+
+    /// Makes the tasks of each step ready whose time and turn have come.
+    pub(super) fn open_steps(&mut self, wall_ms: u64) {
+        if self.phase.is_final() {
+            return;
+        }
+        for occurrence in 0..self.spec.occurrences() {
+            if self.spec.due_ms(occurrence) > wall_ms {
+                break;
+            }
+            for step in 0..self.spec.steps.len() as u16 {
+                self.open_step(occurrence, step);
+            }
+        }
+    }
+
+    fn open_step(&mut self, occurrence: u32, step: u16) {
+        if self.opened.contains(&(occurrence, step)) {
+            return;
+        }
+        let spec = &self.spec.steps[usize::from(step)];
+        let is_done = |after: &u16| self.progress.is_step_done(&self.spec, occurrence, *after);
+        if !spec.after.iter().all(is_done) {
+            return;
+        }
+        let is_open = |index: &u32| {
+            self.progress.mark(occurrence, step, *index) != TaskMark::Done
+                && !self.live.contains_key(&(occurrence, step, *index))
+        };
+        // The last is started first.
+        let tasks: Vec<u32> = (0..spec.tasks).rev().filter(is_open).collect();
+        self.opened.insert((occurrence, step));
+        if !tasks.is_empty() {
+            self.ready.insert((occurrence, step), tasks);
+        }
+    }
+
+    /// A task may start again.
+    pub(super) fn make_ready(&mut self, place: TaskPlace) {
+        if self.phase.is_final() || self.progress.mark(place.0, place.1, place.2) == TaskMark::Done
+        {
+            return;
+        }
+        let tasks = self.ready.entry((place.0, place.1)).or_default();
+        if !tasks.contains(&place.2) {
+            tasks.push(place.2);
+        }
+    }
+
+    /// A task may not start any more.
+    pub(super) fn withdraw(&mut self, place: TaskPlace) {
+        if let Some(tasks) = self.ready.get_mut(&(place.0, place.1)) {
+            tasks.retain(|index| *index != place.2);
+            if tasks.is_empty() {
+                self.ready.remove(&(place.0, place.1));
+            }
+        }
+    }
+
+    /// A number that is larger than that of every run before, also of earlier owners.
+    pub(super) fn next_run(&mut self, token: Revision) -> RunNumber {
+        /// Starts of one job under one owner stay below this.
+        const RUNS_OF_OWNER: u64 = 1 << 16;
+        self.runs += 1;
+        RunNumber(token.0 * RUNS_OF_OWNER + self.runs)
+    }
+
+    /// Runs of an occurrence's step on a minion.
+    pub(super) fn runs_on(&self, occurrence: u32, step: u16, minion: &MinionId) -> u32 {
+        let range = (occurrence, step, 0)..=(occurrence, step, u32::MAX);
+        self.live.range(range).filter(|(_, live)| live.minion == *minion).count() as u32
+    }
+
+    /// When the job should be complete, in milliseconds since 1970.
+    pub(super) fn objective_ms(&self, queue: &QueueConfig) -> u64 {
+        let chain = self.spec.longest_chain().0 as f64 * queue.stretch;
+        let occurrence = self.ready.keys().next().map_or(0, |(occurrence, _)| *occurrence);
+        let begin = self.spec.due_ms(occurrence).max(self.spec.accepted_ms);
+        begin + chain as u64 + queue.aim.0
+    }
+}
+
+/// The name of a task of a job.
+pub(super) fn task_name(job: &JobId, place: TaskPlace) -> TaskName {
+    TaskName { job: job.clone(), occurrence: place.0, step: place.1, index: place.2 }
+}
+
+/// A task's place in its job.
+pub(super) fn place_of(task: &TaskName) -> TaskPlace {
+    (task.occurrence, task.step, task.index)
+}
--- /dev/null
+++ b/crates/fleet/src/pool/limits.rs
@@ -0,0 +1,218 @@
+//! The pool's part of each team's limit.
+//!
+//! A team's limit holds over all pools, and no start may wait for the store. One
+//! shared record splits each limit into parts whose sum never passes it; a pool
+//! starts work against its own part only. A pool that needs more takes what no part
+//! holds, and says what it wants; pools with more than they use give that up. All
+//! of it are compare-and-swaps of the one record.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jobs::Resources;
+use state::{Moment, PoolId, Revision, TeamId};
+
+use super::{PoolCall, PoolOwner, StepContext};
+use crate::io::{ItemValue, PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
+use crate::key::{OwnKey, StoreKey};
+use crate::model::FleetConfig;
+use crate::records::{PartsDoc, PoolPart, decode, encode};
+use crate::timing::{COMMIT_RETRY, PARTS_GAP};
+
+/// What the pool holds, uses and wants of each team's limit.
+#[derive(Debug, Default)]
+pub(super) struct LimitShare {
+    parts: BTreeMap<TeamId, Resources>,
+    used: BTreeMap<TeamId, Resources>,
+    /// Teams that the last look found without room.
+    short: BTreeMap<TeamId, Resources>,
+    limited: BTreeSet<TeamId>,
+    is_writing: bool,
+    next_at: Moment,
+    /// A newer record than the shared one, known from a conflict or a commit.
+    newer: Option<(PartsDoc, Revision)>,
+    /// A record that was written, as long as nobody knows whether it is in force.
+    written: Option<PartsDoc>,
+}
+
+impl LimitShare {
+    pub(super) fn begin_look(&mut self) {
+        self.short.clear();
+    }
+
+    /// Whether the team may have that much more running in this pool.
+    pub(super) fn has_room(&mut self, team: Option<&TeamId>, more: &Resources) -> bool {
+        let Some(team) = team.filter(|team| self.limited.contains(*team)) else { return true };
+        let used = self.used.get(team).copied().unwrap_or_default();
+        let part = self.parts.get(team).copied().unwrap_or_default();
+        if used.plus(more).fits(&part) {
+            return true;
+        }
+        let short = self.short.entry(team.clone()).or_default();
+        *short = short.plus(more);
+        false
+    }
+
+    pub(super) fn add(&mut self, team: Option<&TeamId>, more: &Resources) {
+        if let Some(team) = team {
+            let used = self.used.entry(team.clone()).or_default();
+            *used = used.plus(more);
+        }
+    }
+}
+
+/// The record after this pool has taken what it needs and given up what others
+/// need; the old one if nothing changes.
+fn balance(
+    doc: &PartsDoc,
+    pool: &PoolId,
+    config: &FleetConfig,
+    used: &BTreeMap<TeamId, Resources>,
+    wants: &BTreeMap<TeamId, Resources>,
+) -> PartsDoc {
+    let mut next = doc.clone();
+    for team in &config.teams {
+        let parts = next.teams.entry(team.team.clone()).or_default();
+        let mine = parts.get(pool).copied().unwrap_or_default();
+        let mut others = Resources::default();
+        let mut shortage = Resources::default();
+        for (_, part) in parts.iter().filter(|(other, _)| *other != pool) {
+            others = others.plus(&part.part);
+            shortage = shortage.plus(&part.want.minus(&part.part));
+        }
+        let used = used.get(&team.team).copied().unwrap_or_default();
+        let want = wants.get(&team.team).copied().unwrap_or(used);
+        let free = team.limit.minus(&others.plus(&mine.part));
+        let short = want.minus(&mine.part);
+        let headroom = if short == Resources::default() { short } else { free.quarter() };
+        let taken = mine.part.plus(&lesser(&short.plus(&headroom), &free));
+        let spare = taken.minus(&used.at_least(&want));
+        let left = free.minus(&taken.minus(&mine.part));
+        let given = taken.minus(&lesser(&spare, &shortage.minus(&left)));
+        // A limit that was lowered takes what is not in use.
+        let excess = others.plus(&given).minus(&team.limit);
+        let part = given.minus(&lesser(&excess, &given.minus(&used)));
+        let mine = PoolPart { part, want };
+        if mine == PoolPart::default() {
+            parts.remove(pool);
+        } else {
+            parts.insert(pool.clone(), mine);
+        }
+    }
+    next.teams.retain(|_, parts| !parts.is_empty());
+    next
+}
+
+fn lesser(left: &Resources, right: &Resources) -> Resources {
+    Resources {
+        processor: left.processor.min(right.processor),
+        memory: left.memory.min(right.memory),
+        accelerators: left.accelerators.min(right.accelerators),
+    }
+}
+
+/// Whether others or this pool gain by the change; smaller wants alone are not
+/// worth a write.
+fn is_worth_a_write(old: &PartsDoc, new: &PartsDoc, pool: &PoolId) -> bool {
+    let of = |doc: &PartsDoc, team: &TeamId| {
+        doc.teams.get(team).and_then(|parts| parts.get(pool)).copied().unwrap_or_default()
+    };
+    let teams: BTreeSet<&TeamId> = old.teams.keys().chain(new.teams.keys()).collect();
+    teams.into_iter().any(|team| {
+        let (before, after) = (of(old, team), of(new, team));
+        let wants_more = !after.want.fits(&before.want) && !after.want.fits(&after.part);
+        let wants_less = !before.want.fits(&before.part) && after.want.fits(&after.part);
+        before.part != after.part || wants_more || wants_less
+    })
+}
+
+impl PoolOwner {
+    /// Counts what runs, and writes the parts anew when something is to change.
+    pub(super) fn share_limits(&mut self, context: &mut StepContext) {
+        let Some(config) = context.shared.config.as_ref() else { return };
+        self.limits.limited = config.teams.iter().map(|team| team.team.clone()).collect();
+        self.limits.used = self.used_by_team();
+        let shared = context.shared.parts.as_ref();
+        let shared = shared.map_or((PartsDoc::default(), Revision(0)), |parts| {
+            (parts.record.clone(), parts.revision)
+        });
+        self.limits.newer.take_if(|newer| newer.1 <= shared.1);
+        let (doc, revision) = self.limits.newer.clone().unwrap_or(shared);
+        self.limits.parts = parts_of(&doc, &self.pool);
+        if let Some(written) = &self.limits.written {
+            let after = parts_of(written, &self.pool);
+            for (team, part) in &mut self.limits.parts {
+                *part = lesser(part, &after.get(team).copied().unwrap_or_default());
+            }
+        }
+        if self.limits.is_writing || context.clock.now < self.limits.next_at {
+            return;
+        }
+        let mut wants = self.limits.used.clone();
+        for (team, short) in &self.limits.short {
+            let want = wants.entry(team.clone()).or_default();
+            *want = want.plus(short);
+        }
+        let next = balance(&doc, &self.pool, config, &self.limits.used, &wants);
+        // After an unknown answer the next write shows what is in force.
+        if self.limits.written.is_none() && !is_worth_a_write(&doc, &next, &self.pool) {
+            return;
+        }
+        self.limits.is_writing = true;
+        let key = StoreKey::Own(OwnKey::Parts);
+        let owner = StoreKey::Own(OwnKey::Owner(self.pool.clone()));
+        let commit = StoreCommit {
+            expect: vec![(owner, self.token), (key.clone(), revision)],
+            puts: vec![StorePut { key, value: PutValue::Own(encode(&next)), lease: None }],
+            remove: Vec::new(),
+        };
+        self.limits.written = Some(next);
+        let purpose = self.purpose(PoolCall::Parts);
+        context.out.store(context.clock, purpose, StoreCall::Commit(commit));
+    }
+
+    pub(super) fn on_parts_written(&mut self, context: &mut StepContext, answer: StoreAnswer) {
+        self.limits.is_writing = false;
+        self.limits.next_at = context.clock.now + PARTS_GAP;
+        match answer {
+            StoreAnswer::Committed(revision) => {
+                self.limits.newer = self.limits.written.take().map(|doc| (doc, revision));
+            }
+            StoreAnswer::Conflict(items) => {
+                self.limits.written = None;
+                let parts = items.into_iter().find(|item| item.key == StoreKey::Own(OwnKey::Parts));
+                if let Some(item) = parts
+                    && let ItemValue::Own(bytes) = &item.value
+                    && let Ok(doc) = decode::<PartsDoc>(bytes)
+                {
+                    self.limits.newer = Some((doc, item.revision));
+                }
+                self.limits.next_at = context.clock.now;
+            }
+            other => {
+                context.out.log("limits", &self.pool, format!("{other:?}"), "again");
+                self.limits.next_at = context.clock.now + COMMIT_RETRY;
+            }
+        }
+    }
+
+    fn used_by_team(&self) -> BTreeMap<TeamId, Resources> {
+        let mut used: BTreeMap<TeamId, Resources> = BTreeMap::new();
+        for minion in self.minions.values() {
+            for (task, run) in &minion.runs {
+                let team = self.jobs.get(&task.job).and_then(|job| job.spec.team.as_ref());
+                if let Some(team) = team {
+                    let sum = used.entry(team.clone()).or_default();
+                    *sum = sum.plus(&run.takes);
+                }
+            }
+        }
+        used
+    }
+}
+
+fn parts_of(doc: &PartsDoc, pool: &PoolId) -> BTreeMap<TeamId, Resources> {
+    let of_pool = |(team, parts): (&TeamId, &BTreeMap<PoolId, PoolPart>)| {
+        parts.get(pool).map(|part| (team.clone(), part.part))
+    };
+    doc.teams.iter().filter_map(of_pool).collect()
+}
--- /dev/null
+++ b/crates/fleet/src/pool/load.rs
@@ -0,0 +1,207 @@
+//! Reads what lasts of a pool, and follows its new jobs.
+
+use std::collections::BTreeMap;
+
+use jobs::{JobPhase, JobProgress, JobSpec};
+use state::{JobId, Millis, MinionId, Moment, Revision};
+
+use super::job::OwnedJob;
+use super::{PoolCall, PoolOwner, StepContext};
+use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
+use crate::key::{KeyScope, OwnKey, StoreKey};
+use crate::records::{PoolRoster, RosterRow, decode};
+use crate::timing::{CLOCK_ERROR_PERMILLE, READ_RETRY, RUN_LEASE, WATCH_WAIT};
+
+/// How far reading has come.
+#[derive(Debug, Default)]
+pub(super) struct LoadStage {
+    has_roster: bool,
+    has_jobs: bool,
+    has_progress: bool,
+    follow_from: Option<Revision>,
+    is_following: bool,
+    progress: BTreeMap<JobId, (JobProgress, Revision)>,
+    /// Roster's minions that have not shown what runs on them.
+    pub(super) unseen: BTreeMap<MinionId, RosterRow>,
+    retry: Vec<(Moment, PoolCall, Option<StoreKey>)>,
+}
+
+impl LoadStage {
+    pub(super) fn is_loaded(&self) -> bool {
+        self.has_roster && self.has_jobs && self.has_progress
+    }
+}
+
+impl PoolOwner {
+    pub(super) fn load(&mut self, context: &mut StepContext) {
+        self.read(context, PoolCall::LoadRoster, None);
+        self.read(context, PoolCall::LoadProgress, None);
+    }
+
+    fn read(&mut self, context: &mut StepContext, call: PoolCall, after: Option<StoreKey>) {
+        let pool = self.pool.clone();
+        let request = match call {
+            PoolCall::LoadRoster => StoreCall::Read(StoreKey::Own(OwnKey::Roster(pool))),
+            PoolCall::LoadProgress => StoreCall::Range { scope: KeyScope::Progress(pool), after },
+            PoolCall::LoadJobs => StoreCall::Range { scope: KeyScope::Jobs(pool), after },
+            _ => {
+                let after = self.stage.follow_from.unwrap_or_default();
+                self.stage.is_following = true;
+                StoreCall::Watch { scope: KeyScope::Jobs(pool), after, wait: WATCH_WAIT }
+            }
+        };
+        context.out.store(context.clock, self.purpose(call), request);
+    }
+
+    pub(super) fn retry_load(&mut self, context: &mut StepContext) {
+        let now = context.clock.now;
+        let retry = std::mem::take(&mut self.stage.retry);
+        for (at, call, after) in retry {
+            if now >= at {
+                self.read(context, call, after);
+            } else {
+                self.stage.retry.push((at, call, after));
+            }
+        }
+    }
+
+    pub(super) fn on_loaded(
+        &mut self,
+        context: &mut StepContext,
+        call: PoolCall,
+        answer: StoreAnswer,
+    ) {
+        match (call, answer) {
+            (PoolCall::LoadRoster, StoreAnswer::Absent) => self.stage.has_roster = true,
+            (PoolCall::LoadRoster, StoreAnswer::Items { items, .. }) => {
+                self.take_roster(context, items);
+            }
+            (PoolCall::LoadProgress, StoreAnswer::Items { items, more, .. }) => {
+                let last = items.last().map(|item| item.key.clone());
+                for item in items {
+                    self.take_progress(context, item);
+                }
+                if more {
+                    return self.read(context, PoolCall::LoadProgress, last);
+                }
+                self.stage.has_progress = true;
+                self.read(context, PoolCall::LoadJobs, None);
+            }
+            (PoolCall::LoadJobs, StoreAnswer::Items { items, more, at }) => {
+                self.stage.follow_from.get_or_insert(at);
+                let last = items.last().map(|item| item.key.clone());
+                let is_first_load = !self.stage.has_jobs;
+                for item in items {
+                    self.take_job(context, item, is_first_load);
+                }
+                if more {
+                    return self.read(context, PoolCall::LoadJobs, last);
+                }
+                self.finish_load(context);
+            }
+            (PoolCall::WatchJobs, StoreAnswer::Events { events, at }) => {
+                self.stage.follow_from = Some(at);
+                for event in events {
+                    if let StoreEvent::Put(item) = event {
+                        self.take_job(context, item, false);
+                    }
+                }
+                self.read(context, PoolCall::WatchJobs, None);
+            }
+            (PoolCall::WatchJobs, StoreAnswer::Compacted) => {
+                self.stage.follow_from = None;
+                self.read(context, PoolCall::LoadJobs, None);
+            }
+            (call, answer) => {
+                let inputs = format!("{call:?}: {answer:?}");
+                context.out.log("pool-records", &self.pool, inputs, "read again");
+                if call == PoolCall::LoadProgress {
+                    self.stage.progress.clear();
+                }
+                if call == PoolCall::LoadJobs {
+                    self.stage.follow_from = None;
+                }
+                self.stage.retry.push((context.clock.now + READ_RETRY, call, None));
+            }
+        }
+    }
+
+    fn finish_load(&mut self, context: &mut StepContext) {
+        if !self.stage.has_jobs {
+            self.stage.has_jobs = true;
+            let inputs = format!(
+                "{} jobs, {} minions of the roster, {} after taking",
+                self.jobs.len(),
+                self.stage.unseen.len(),
+                context.clock.now - self.taken_at
+            );
+            context.out.log("pool", &self.pool, inputs, "loaded");
+        }
+        self.follow_registry(context);
+        self.read(context, PoolCall::WatchJobs, None);
+    }
+
+    fn take_roster(&mut self, context: &mut StepContext, items: Vec<StoreItem>) {
+        for item in items {
+            let ItemValue::Own(bytes) = item.value else { continue };
+            match decode::<PoolRoster>(&bytes) {
+                Ok(roster) => {
+                    self.save.roster_revision = item.revision;
+                    self.stage.unseen = roster.minions;
+                }
+                Err(reason) => self.log_unreadable(context, &item.key, &reason),
+            }
+        }
+        self.stage.has_roster = true;
+    }
+
+    fn take_progress(&mut self, context: &mut StepContext, item: StoreItem) {
+        let StoreKey::Own(OwnKey::Progress(_, job)) = &item.key else { return };
+        let ItemValue::Own(bytes) = &item.value else { return };
+        match decode::<JobProgress>(bytes) {
+            Ok(progress) => {
+                self.stage.progress.insert(job.clone(), (progress, item.revision));
+            }
+            Err(reason) => self.log_unreadable(context, &item.key, &reason),
+        }
+    }
+
+    fn take_job(&mut self, context: &mut StepContext, item: StoreItem, is_inherited: bool) {
+        let StoreKey::Own(OwnKey::Job(_, job)) = &item.key else { return };
+        let ItemValue::Own(bytes) = &item.value else { return };
+        if self.jobs.contains_key(job) || self.save.has_removed(job) {
+            return;
+        }
+        let spec = match decode::<JobSpec>(bytes) {
+            Ok(spec) => spec,
+            Err(reason) => return self.log_unreadable(context, &item.key, &reason),
+        };
+        // The outcome was created by the same commit, so it has the same revision
+        // until it changes.
+        let known = context.shared.outcomes.get(&(self.pool.clone(), job.clone()));
+        let (phase, revision) = known.map_or((JobPhase::Queued, item.revision), |known| {
+            (known.record.phase, known.revision)
+        });
+        let queue = known.map(|known| known.record.queue.clone());
+        let (progress, progress_revision) = self.stage.progress.remove(job).unwrap_or_default();
+        let mut owned = OwnedJob::new(spec, phase, revision);
+        owned.queue = queue;
+        owned.progress = progress;
+        owned.progress_revision = progress_revision;
+        owned.is_inherited = is_inherited;
+        owned.open_steps(context.clock.wall_ms);
+        let inputs = format!("revision {revision}, {phase}, {} steps", owned.spec.steps.len());
+        context.out.log("job", job, inputs, "taken");
+        self.jobs.insert(job.clone(), owned);
+    }
+
+    fn log_unreadable(&self, context: &mut StepContext, key: &StoreKey, reason: &str) {
+        context.out.log("record", format!("{key:?}"), reason, "cannot be read");
+    }
+
+    /// Whether nothing that an earlier owner started can still run unseen.
+    pub(super) fn is_past_clear(&self, now: Moment) -> bool {
+        let longest = RUN_LEASE.0 + RUN_LEASE.0 * CLOCK_ERROR_PERMILLE / 1_000 + 500;
+        self.stage.unseen.is_empty() || now >= self.taken_at + Millis(longest)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/pool/minion.rs
@@ -0,0 +1,140 @@
+//! A minion of a pool: what may run there, and until when.
+//!
+//! Its clock is known from its answers. What may run there ends at the latest when
+//! the longest lease that was ever sent, answered or not, has lapsed by that clock.
+
+use std::collections::BTreeMap;
+
+use jobs::{Resources, RunNumber, TaskName};
+use state::{Millis, Moment};
+
+use crate::model::MinionReport;
+use crate::timing::CLOCK_ERROR_PERMILLE;
+
+/// How far a run has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RunPhase {
+    /// The start is not answered; after this time of its clock the minion refuses it.
+    Starting { until_clock: u64 },
+    /// It runs.
+    Running,
+    /// A stop was sent; it is sent again at this time.
+    Stopping { again_at: Moment },
+}
+
+/// A run on a minion.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct MinionRun {
+    pub(super) run: RunNumber,
+    pub(super) phase: RunPhase,
+    /// What it takes of the minion's room.
+    pub(super) takes: Resources,
+    pub(super) percent: u8,
+    pub(super) gauge: Option<u64>,
+    /// Share of its processor time that it may use, in percent.
+    pub(super) pace: u8,
+    /// When the start was answered, or the run was first listed.
+    pub(super) known_at: Moment,
+}
+
+/// A minion with what may run there.
+#[derive(Debug)]
+pub(super) struct OwnedMinion {
+    pub(super) report: MinionReport,
+    /// The newest reading of the registry has it.
+    pub(super) is_listed: bool,
+    /// It has answered this owner's token in this life.
+    pub(super) is_fenced: bool,
+    /// The roster in the store has this life.
+    pub(super) is_in_roster: bool,
+    clock: Option<(u64, Moment)>,
+    lapse_at: Moment,
+    pub(super) runs: BTreeMap<TaskName, MinionRun>,
+    /// Sum of what the runs take.
+    pub(super) used: Resources,
+    /// Largest number of an end that was looked at.
+    pub(super) seen: u64,
+    /// Largest number of an end that is saved.
+    pub(super) noted: u64,
+    pub(super) is_holding: bool,
+    pub(super) next_hold: Moment,
+    pub(super) last_hold: Moment,
+    /// It gets no start until then.
+    pub(super) pause_until: Moment,
+    /// It is being emptied for its VM's upkeep.
+    pub(super) is_vacating: bool,
+}
+
+impl OwnedMinion {
+    pub(super) fn new(report: MinionReport, noted: u64) -> Self {
+        Self {
+            report,
+            is_listed: true,
+            is_fenced: false,
+            is_in_roster: false,
+            clock: None,
+            lapse_at: Moment(0),
+            runs: BTreeMap::new(),
+            used: Resources::default(),
+            seen: noted,
+            noted,
+            is_holding: false,
+            next_hold: Moment(0),
+            last_hold: Moment(0),
+            pause_until: Moment(0),
+            is_vacating: false,
+        }
+    }
+
+    /// Whether it may get starts.
+    pub(super) fn is_usable(&self, now: Moment) -> bool {
+        self.is_listed
+            && self.is_fenced
+            && self.is_in_roster
+            && !self.report.is_draining
+            && !self.is_vacating
+            && self.clock.is_some()
+            && now >= self.pause_until
+    }
+
+    /// Room that no run takes.
+    pub(super) fn free(&self) -> Resources {
+        self.report.room.minus(&self.used)
+    }
+
+    pub(super) fn set_clock(&mut self, clock_ms: u64, now: Moment) {
+        self.clock = Some((clock_ms, now));
+    }
+
+    /// The minion's clock at `now`; it may be a little further.
+    pub(super) fn clock_at(&self, now: Moment) -> Option<u64> {
+        self.clock.map(|(clock_ms, at)| clock_ms + (now - at).0)
+    }
+
+    /// Remembers that all that runs may last until `until_clock`.
+    pub(super) fn lend(&mut self, until_clock: u64, now: Moment) {
+        let Some((clock_ms, at)) = self.clock else { return };
+        let span = until_clock.saturating_sub(clock_ms);
+        let slow = span * CLOCK_ERROR_PERMILLE / 1_000;
+        self.lapse_at = self.lapse_at.max(at + Millis(span + slow)).max(now);
+    }
+
+    /// Whether nothing can run any more unless it was renewed.
+    pub(super) fn is_lapsed(&self, now: Moment) -> bool {
+        now >= self.lapse_at
+    }
+
+    pub(super) fn insert_run(&mut self, task: TaskName, run: MinionRun) {
+        self.used = self.used.plus(&run.takes);
+        self.runs.insert(task, run);
+    }
+
+    pub(super) fn remove_run(&mut self, task: &TaskName, run: RunNumber) -> Option<MinionRun> {
+        if self.runs.get(task).is_none_or(|known| known.run != run) {
+            return None;
+        }
+        let removed = self.runs.remove(task)?;
+        self.used = self.runs.values().fold(Resources::default(), |sum, run| sum.plus(&run.takes));
+        Some(removed)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/pool/mod.rs
@@ -0,0 +1,197 @@
+//! The owner of a pool: it alone gives orders to the pool's minions.
+//!
+//! A new owner first reads the pool's jobs, their ends and the roster, then asks
+//! every minion of the roster and of the registry with its own token. That answer
+//! fences all orders of earlier owners and shows what runs. What an earlier owner
+//! may have started stays untouched until every minion of the roster has answered,
+//! has begun a new life, or its leases have surely lapsed.
+//!
+//! From then on events drive it: an end or a new job is followed by a look for tasks
+//! that can start (`place`). Ends are saved several at a time (`save`), and a minion
+//! may forget an end only after that.
+
+mod ends;
+mod job;
+mod limits;
+mod load;
+mod minion;
+mod orders;
+mod pace;
+mod place;
+mod save;
+mod upkeep;
+
+use std::collections::BTreeMap;
+
+use jobs::{RunNumber, TaskName};
+use state::{JobId, MinionId, Moment, PoolId, Revision, VmId};
+
+use crate::event::Clock;
+use crate::io::{CloudAnswer, MinionAnswer, StoreAnswer};
+use crate::model::FleetSettings;
+use crate::outbox::{CallPurpose, Outbox};
+use crate::registry::Registry;
+use crate::shared::SharedIndex;
+
+use job::OwnedJob;
+use limits::LimitShare;
+use load::LoadStage;
+use minion::OwnedMinion;
+use save::SaveState;
+use upkeep::UpkeepState;
+
+/// Calls of this part.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum PoolCall {
+    LoadRoster,
+    LoadJobs,
+    LoadProgress,
+    WatchJobs,
+    Save,
+    Parts,
+    Hold { minion: MinionId, born: u64 },
+    Start { minion: MinionId, born: u64, task: TaskName, run: RunNumber },
+    Stop,
+    Pace { minion: MinionId, task: TaskName, run: RunNumber, percent: u8 },
+    ListVms,
+    WaveCommit,
+    Upkeep { vm: VmId, wave: u64 },
+}
+
+/// What a step may use besides the pool's own state.
+pub(crate) struct StepContext<'a> {
+    pub(crate) clock: Clock,
+    pub(crate) out: &'a mut Outbox,
+    pub(crate) shared: &'a SharedIndex,
+    pub(crate) registry: &'a Registry,
+    pub(crate) settings: &'a FleetSettings,
+    /// Whether the pool is surely this daemon's own.
+    pub(crate) is_valid: bool,
+}
+
+/// A pool that this daemon owns.
+#[derive(Debug)]
+pub(crate) struct PoolOwner {
+    pool: PoolId,
+    token: Revision,
+    taken_at: Moment,
+    stage: LoadStage,
+    jobs: BTreeMap<JobId, OwnedJob>,
+    minions: BTreeMap<MinionId, OwnedMinion>,
+    save: SaveState,
+    limits: LimitShare,
+    upkeep: UpkeepState,
+    /// Somebody else owns the pool.
+    pub(crate) is_lost: bool,
+}
+
+impl PoolOwner {
+    pub(crate) fn new(pool: PoolId, token: Revision, context: &mut StepContext) -> Self {
+        let inputs = format!("token {token}");
+        context.out.log("pool", &pool, inputs, "owned");
+        let mut owner = Self {
+            pool,
+            token,
+            taken_at: context.clock.now,
+            stage: LoadStage::default(),
+            jobs: BTreeMap::new(),
+            minions: BTreeMap::new(),
+            save: SaveState::default(),
+            limits: LimitShare::default(),
+            upkeep: UpkeepState::default(),
+            is_lost: false,
+        };
+        owner.load(context);
+        owner
+    }
+
+    pub(crate) fn token(&self) -> Revision {
+        self.token
+    }
+
+    fn purpose(&self, call: PoolCall) -> CallPurpose {
+        CallPurpose::Pool(self.pool.clone(), call)
+    }
+
+    pub(crate) fn on_store(
+        &mut self,
+        context: &mut StepContext,
+        call: PoolCall,
+        answer: StoreAnswer,
+    ) {
+        match call {
+            PoolCall::Save => self.on_saved(context, answer),
+            PoolCall::Parts => self.on_parts_written(context, answer),
+            PoolCall::WaveCommit => self.on_wave_written(context, answer),
+            loading => self.on_loaded(context, loading, answer),
+        }
+        self.go_on(context);
+    }
+
+    pub(crate) fn on_minion(
+        &mut self,
+        context: &mut StepContext,
+        call: PoolCall,
+        sent: Moment,
+        answer: MinionAnswer,
+    ) {
+        match call {
+            PoolCall::Hold { minion, born } => self.on_held(context, &minion, born, sent, answer),
+            PoolCall::Start { minion, born, task, run } => {
+                self.on_started(context, &minion, born, &task, run, answer);
+            }
+            PoolCall::Pace { minion, task, run, percent } => {
+                self.on_paced(&minion, &task, run, percent, &answer);
+            }
+            // A stop has worked when its end is listed; else it is sent again.
+            _ => {}
+        }
+        self.go_on(context);
+    }
+
+    pub(crate) fn on_cloud(
+        &mut self,
+        context: &mut StepContext,
+        call: PoolCall,
+        answer: CloudAnswer,
+    ) {
+        self.on_cloud_answer(context, call, answer);
+        self.go_on(context);
+    }
+
+    /// An outcome in the shared records has changed.
+    pub(crate) fn on_outcome(&mut self, context: &mut StepContext, job: &JobId) {
+        let key = (self.pool.clone(), job.clone());
+        if let Some(known) = context.shared.outcomes.get(&key) {
+            self.adopt_outcome(context, job, known.record.phase, known.revision);
+        }
+    }
+
+    /// The registry was read anew.
+    pub(crate) fn on_registry(&mut self, context: &mut StepContext) {
+        self.follow_registry(context);
+        self.go_on(context);
+    }
+
+    pub(crate) fn on_tick(&mut self, context: &mut StepContext) {
+        self.retry_load(context);
+        self.open_due_steps(context);
+        self.check_leases(context);
+        self.resend_stops(context);
+        self.keep_upkeep(context);
+        self.go_on(context);
+    }
+
+    /// What every event is followed by.
+    pub(crate) fn go_on(&mut self, context: &mut StepContext) {
+        if !context.is_valid || self.is_lost {
+            return;
+        }
+        self.share_limits(context);
+        if self.stage.is_loaded() {
+            self.place(context);
+        }
+        self.save(context);
+        self.send_holds(context);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/pool/orders.rs
@@ -0,0 +1,202 @@
+//! Holds, stops and the leases of minions.
+
+use jobs::{RunNumber, TaskName};
+use state::{Millis, MinionId, Moment};
+
+use super::minion::{OwnedMinion, RunPhase};
+use super::{PoolCall, PoolOwner, StepContext};
+use crate::io::{MinionCall, MinionTarget};
+use crate::timing::{HOLD_PERIOD, HOLD_WAIT, RUN_LEASE, STOP_RETRY};
+
+pub(super) fn target_of(minion: &OwnedMinion) -> MinionTarget {
+    MinionTarget { minion: minion.report.minion.clone(), address: minion.report.address }
+}
+
+impl PoolOwner {
+    /// Takes new minions and new lives from the registry.
+    pub(super) fn follow_registry(&mut self, context: &mut StepContext) {
+        if !self.stage.is_loaded() {
+            return;
+        }
+        let reports = &context.registry.reports;
+        let is_ours = |id: &MinionId, owner: &Self| {
+            reports.get(id).is_some_and(|report| report.pool == owner.pool)
+        };
+        let known: Vec<MinionId> = self.minions.keys().cloned().collect();
+        for id in known {
+            let is_listed = is_ours(&id, self);
+            if let Some(minion) = self.minions.get_mut(&id) {
+                minion.is_listed = is_listed;
+            }
+        }
+        for report in context.registry.reports.values() {
+            if report.pool != self.pool {
+                continue;
+            }
+            match self.minions.get_mut(&report.minion) {
+                Some(minion) if minion.report.born == report.born => {
+                    if minion.report.is_draining != report.is_draining {
+                        let inputs = format!("born {}", report.born);
+                        let state = if report.is_draining { "draining" } else { "ready" };
+                        context.out.log("minion", &report.minion, inputs, state);
+                    }
+                    minion.report = report.clone();
+                }
+                Some(minion) if minion.report.born > report.born => {}
+                Some(_) => {
+                    self.begin_life(context, &report.minion, report.born);
+                    if let Some(minion) = self.minions.get_mut(&report.minion) {
+                        minion.report = report.clone();
+                    }
+                }
+                None => {
+                    let row = self.stage.unseen.get(&report.minion);
+                    let noted =
+                        row.filter(|row| row.born == report.born).map_or(0, |row| row.noted);
+                    let inputs = format!("born {}, noted {noted}", report.born);
+                    context.out.log("minion", &report.minion, inputs, "found");
+                    let minion = OwnedMinion::new(report.clone(), noted);
+                    self.minions.insert(report.minion.clone(), minion);
+                }
+            }
+        }
+    }
+
+    /// A minion has begun a new life: nothing of the one before runs any more.
+    pub(super) fn begin_life(&mut self, context: &mut StepContext, id: &MinionId, born: u64) {
+        self.void_runs(context, id, "its minion has begun a new life");
+        self.stage.unseen.remove(id);
+        if let Some(minion) = self.minions.get_mut(id) {
+            let mut report = minion.report.clone();
+            report.born = born;
+            let (is_listed, is_holding) = (minion.is_listed, minion.is_holding);
+            *minion = OwnedMinion::new(report, 0);
+            minion.is_listed = is_listed;
+            minion.is_holding = is_holding;
+            context.out.log("minion", id, format!("born {born}"), "new life");
+        }
+    }
+
+    /// Nothing runs on a minion any more: its tasks may start elsewhere.
+    pub(super) fn void_runs(&mut self, context: &mut StepContext, id: &MinionId, why: &str) {
+        let Some(minion) = self.minions.get(id) else { return };
+        let runs: Vec<(TaskName, RunNumber)> =
+            minion.runs.iter().map(|(task, run)| (task.clone(), run.run)).collect();
+        for (task, run) in runs {
+            context.out.log("run", &task, format!("run {run} on {id}"), why.to_owned());
+            self.end_run(id, &task, run);
+        }
+    }
+
+    /// Gives up what can no longer run on minions that do not answer, and forgets
+    /// minions that are gone.
+    pub(super) fn check_leases(&mut self, context: &mut StepContext) {
+        let now = context.clock.now;
+        let lapsed = |minion: &OwnedMinion| {
+            minion.is_lapsed(now) && now.0 > minion.last_hold.0 && minion.is_fenced
+        };
+        let ids: Vec<MinionId> = self
+            .minions
+            .iter()
+            .filter(|(_, minion)| lapsed(minion))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            self.void_runs(context, &id, "its lease has lapsed");
+            if self.minions.get(&id).is_some_and(|minion| !minion.is_listed) {
+                context.out.log("minion", &id, "not listed, lease lapsed", "forgotten");
+                self.minions.remove(&id);
+                self.save.is_roster_dirty = true;
+            }
+        }
+        let unfenced_gone = |minion: &OwnedMinion| !minion.is_listed && !minion.is_fenced;
+        self.minions.retain(|_, minion| !unfenced_gone(minion));
+    }
+
+    /// Renews the leases of all minions, and looks for ends.
+    pub(super) fn send_holds(&mut self, context: &mut StepContext) {
+        if !self.stage.is_loaded() {
+            return;
+        }
+        let now = context.clock.now;
+        let due: Vec<MinionId> = self
+            .minions
+            .iter()
+            .filter(|(_, minion)| !minion.is_holding && is_hold_due(minion, now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.send_hold(context, &id);
+        }
+    }
+
+    fn send_hold(&mut self, context: &mut StepContext, id: &MinionId) {
+        let now = context.clock.now;
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        minion.is_holding = true;
+        minion.last_hold = now;
+        let lease = RUN_LEASE.min(context.settings.longest_hold);
+        let until_clock = minion.clock_at(now).map(|clock| clock + lease.0);
+        if let Some(until) = until_clock {
+            minion.lend(until, now);
+        }
+        let is_quiet = minion.is_fenced && minion.seen == minion.noted;
+        let wait = if is_quiet { HOLD_WAIT } else { Millis(0) };
+        let order = MinionCall::Hold { until_clock, noted: minion.noted, wait };
+        let call = PoolCall::Hold { minion: id.clone(), born: minion.report.born };
+        let target = target_of(minion);
+        let purpose = self.purpose(call);
+        context.out.minion(context.clock, purpose, target, self.token.0, order);
+    }
+
+    /// Stops a run; its room is free when its end is listed.
+    pub(super) fn stop_run(&mut self, context: &mut StepContext, id: &MinionId, task: &TaskName) {
+        let now = context.clock.now;
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        let Some(run) = minion.runs.get_mut(task) else { return };
+        run.phase = RunPhase::Stopping { again_at: now + STOP_RETRY };
+        let order = MinionCall::Stop { task: task.clone(), run: run.run };
+        let target = target_of(minion);
+        let purpose = self.purpose(PoolCall::Stop);
+        context.out.minion(context.clock, purpose, target, self.token.0, order);
+    }
+
+    pub(super) fn resend_stops(&mut self, context: &mut StepContext) {
+        let now = context.clock.now;
+        if !context.is_valid {
+            return;
+        }
+        let mut due = Vec::new();
+        for (id, minion) in &self.minions {
+            for (task, run) in &minion.runs {
+                if matches!(run.phase, RunPhase::Stopping { again_at } if now >= again_at) {
+                    due.push((id.clone(), task.clone()));
+                }
+            }
+        }
+        for (id, task) in due {
+            self.stop_run(context, &id, &task);
+        }
+    }
+
+    /// Stops all of a job that runs.
+    pub(super) fn stop_job(&mut self, context: &mut StepContext, job: &state::JobId) {
+        let Some(owned) = self.jobs.get(job) else { return };
+        let live: Vec<(MinionId, TaskName)> = owned
+            .live
+            .iter()
+            .map(|(place, live)| (live.minion.clone(), super::job::task_name(job, *place)))
+            .collect();
+        for (minion, task) in live {
+            self.stop_run(context, &minion, &task);
+        }
+    }
+}
+
+/// While ends wait for the store, a minion is asked only to renew its leases: it
+/// would answer at once with the same ends.
+fn is_hold_due(minion: &OwnedMinion, now: Moment) -> bool {
+    let waits_for_store = minion.seen > minion.noted;
+    let renewal = minion.last_hold + HOLD_PERIOD;
+    now >= minion.next_hold && (!waits_for_store || now >= renewal)
+}
--- /dev/null
+++ b/crates/fleet/src/pool/place.rs
@@ -0,0 +1,262 @@
+//! Finds a minion for each task that may start.
+//!
+//! Jobs are looked at in the order of [`PlaceRank`]: lasting ones, then those that
+//! can still meet their objective, then the others; within these by the queue's
+//! priority and the objective. A task goes to the minion with most free processor
+//! time, near its data first, which leaves each minion's tasks the most to share.
+
+use std::collections::BTreeMap;
+
+use jobs::{JobPhase, Resources, RunNumber, StepSpec};
+use state::{JobId, MinionId, TeamId};
+
+use super::job::{LiveRun, TaskPlace, task_name};
+use super::minion::{MinionRun, OwnedMinion, RunPhase};
+use super::orders::target_of;
+use super::{PoolCall, PoolOwner, StepContext};
+use crate::io::MinionCall;
+use crate::model::{FleetConfig, QueueConfig};
+use crate::timing::START_VALID;
+
+/// What a task of a step takes of a minion's room: a filler uses only processor
+/// time that is left.
+pub(super) fn takes_of(step: &StepSpec) -> Resources {
+    let mut takes = step.needs;
+    if step.filler {
+        takes.processor = state::Millicores(0);
+    }
+    takes
+}
+
+/// Smaller ranks come first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct PlaceRank {
+    class: RankClass,
+    priority: u32,
+    objective_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum RankClass {
+    Lasting,
+    OnTime,
+    Late,
+}
+
+/// One group of like tasks that may start.
+struct TaskGroup<'a> {
+    job: &'a JobId,
+    occurrence: u32,
+    step: u16,
+    spec: StepSpec,
+    team: Option<TeamId>,
+}
+
+impl PoolOwner {
+    pub(super) fn place(&mut self, context: &mut StepContext) {
+        let Some(config) = context.shared.config.as_ref() else { return };
+        self.limits.begin_look();
+        for (_, job) in self.ranked_jobs(context, config) {
+            let Some(owned) = self.jobs.get(&job) else { continue };
+            let groups: Vec<(u32, u16)> = owned.ready.keys().copied().collect();
+            let team = owned.spec.team.clone();
+            for (occurrence, step) in groups {
+                let Some(spec) = self.jobs[&job].spec.steps.get(usize::from(step)) else {
+                    continue;
+                };
+                let spec = spec.clone();
+                let group = TaskGroup { job: &job, occurrence, step, spec, team: team.clone() };
+                if group.spec.gang {
+                    self.place_gang(context, &group);
+                } else {
+                    self.place_group(context, &group);
+                }
+            }
+        }
+    }
+
+    fn ranked_jobs(&self, context: &StepContext, config: &FleetConfig) -> Vec<(PlaceRank, JobId)> {
+        let is_past_clear = self.is_past_clear(context.clock.now);
+        let mut ranked = Vec::new();
+        for (name, job) in &self.jobs {
+            if job.ready.is_empty() || (job.is_inherited && !is_past_clear) {
+                continue;
+            }
+            let queue = job.queue.as_ref().and_then(|queue| config.queue(queue));
+            // A queue that is gone still owes its accepted jobs' work, as long as
+            // another queue leads to the pool.
+            if queue.is_none() && !config.queues.iter().any(|known| known.pool == self.pool) {
+                continue;
+            }
+            ranked.push((rank(job, queue, context.clock.wall_ms), name.clone()));
+        }
+        ranked.sort();
+        ranked
+    }
+
+    fn place_group(&mut self, context: &mut StepContext, group: &TaskGroup) {
+        let takes = takes_of(&group.spec);
+        while let Some(index) = self.last_ready(group) {
+            if !self.limits.has_room(group.team.as_ref(), &takes) {
+                return;
+            }
+            let Some(minion) = self.best_minion(context, group, &takes, &BTreeMap::new()) else {
+                return;
+            };
+            let run = self.next_run(group);
+            self.start(context, group, index, &minion, run);
+        }
+    }
+
+    /// Starts all tasks of a gang, or none.
+    fn place_gang(&mut self, context: &mut StepContext, group: &TaskGroup) {
+        let takes = takes_of(&group.spec);
+        let Some(job) = self.jobs.get(group.job) else { return };
+        let indexes = job.ready.get(&(group.occurrence, group.step)).cloned().unwrap_or_default();
+        if indexes.len() != group.spec.tasks as usize {
+            return;
+        }
+        let mut total = Resources::default();
+        let mut planned: BTreeMap<MinionId, (Resources, u32)> = BTreeMap::new();
+        let mut chosen = Vec::with_capacity(indexes.len());
+        for index in indexes {
+            total = total.plus(&takes);
+            if !self.limits.has_room(group.team.as_ref(), &total) {
+                return;
+            }
+            let Some(minion) = self.best_minion(context, group, &takes, &planned) else { return };
+            let plan = planned.entry(minion.clone()).or_default();
+            plan.0 = plan.0.plus(&takes);
+            plan.1 += 1;
+            chosen.push((index, minion));
+        }
+        let run = self.next_run(group);
+        for (index, minion) in chosen {
+            self.start(context, group, index, &minion, run);
+        }
+    }
+
+    fn last_ready(&self, group: &TaskGroup) -> Option<u32> {
+        let tasks = self.jobs.get(group.job)?.ready.get(&(group.occurrence, group.step))?;
+        tasks.last().copied()
+    }
+
+    fn next_run(&mut self, group: &TaskGroup) -> RunNumber {
+        let token = self.token;
+        self.jobs.get_mut(group.job).map_or(RunNumber(0), |job| job.next_run(token))
+    }
+
+    fn best_minion(
+        &self,
+        context: &StepContext,
+        group: &TaskGroup,
+        takes: &Resources,
+        planned: &BTreeMap<MinionId, (Resources, u32)>,
+    ) -> Option<MinionId> {
+        let now = context.clock.now;
+        let mut best: Option<(bool, u64, &MinionId)> = None;
+        for (id, minion) in &self.minions {
+            let (reserved, planned_tasks) = planned.get(id).copied().unwrap_or_default();
+            let free = minion.free().minus(&reserved);
+            let may_run = minion.is_usable(now)
+                && !context.shared.evacuated.contains(&minion.report.data_centre)
+                && takes.plus(&reserved).fits(&minion.free())
+                && has_label(minion, group.spec.label.as_deref())
+                && self.is_apart(group, id, planned_tasks);
+            if !may_run {
+                continue;
+            }
+            let is_near =
+                group.spec.near.is_some() && has_label(minion, group.spec.near.as_deref());
+            let score = (is_near, free.processor.0, id);
+            if best.is_none_or(|best| (score.0, score.1) > (best.0, best.1)) {
+                best = Some(score);
+            }
+        }
+        best.map(|(_, _, id)| id.clone())
+    }
+
+    fn is_apart(&self, group: &TaskGroup, minion: &MinionId, planned: u32) -> bool {
+        let Some(most) = group.spec.most_per_minion else { return true };
+        let job = &self.jobs[group.job];
+        job.runs_on(group.occurrence, group.step, minion) + planned < most
+    }
+
+    fn start(
+        &mut self,
+        context: &mut StepContext,
+        group: &TaskGroup,
+        index: u32,
+        id: &MinionId,
+        run: RunNumber,
+    ) {
+        let now = context.clock.now;
+        let place: TaskPlace = (group.occurrence, group.step, index);
+        let task = task_name(group.job, place);
+        let takes = takes_of(&group.spec);
+        let (Some(minion), Some(job)) = (self.minions.get_mut(id), self.jobs.get_mut(group.job))
+        else {
+            return;
+        };
+        let Some(clock) = minion.clock_at(now) else { return };
+        let until_clock = clock + START_VALID.0;
+        minion.lend(until_clock, now);
+        let inputs = format!(
+            "run {run}, needs {} {}, free {}, waited {}ms, configuration {}",
+            takes.processor,
+            takes.memory,
+            minion.free().processor,
+            context.clock.wall_ms.saturating_sub(job.spec.accepted_ms),
+            context.shared.config.as_ref().map_or(0, |config| config.version),
+        );
+        context.out.log("start", &task, inputs, id.to_string());
+        minion.insert_run(
+            task.clone(),
+            MinionRun {
+                run,
+                phase: RunPhase::Starting { until_clock },
+                takes,
+                percent: 0,
+                gauge: None,
+                pace: 100,
+                known_at: now,
+            },
+        );
+        job.withdraw(place);
+        job.live.insert(place, LiveRun { minion: id.clone(), run });
+        if job.phase == JobPhase::Queued {
+            job.phase = JobPhase::Active;
+            job.is_phase_dirty = true;
+        }
+        self.limits.add(group.team.as_ref(), &takes);
+        let order = MinionCall::Start {
+            task: task.clone(),
+            run,
+            payload: job.spec.payload.clone(),
+            until_clock,
+            checkpoint: job.checkpoints.get(&place).cloned(),
+            ticket: None,
+        };
+        let target = target_of(minion);
+        let born = minion.report.born;
+        let purpose = self.purpose(PoolCall::Start { minion: id.clone(), born, task, run });
+        context.out.minion(context.clock, purpose, target, self.token.0, order);
+    }
+}
+
+fn has_label(minion: &OwnedMinion, label: Option<&str>) -> bool {
+    label.is_none_or(|label| minion.report.labels.iter().any(|known| &**known == label))
+}
+
+fn rank(job: &super::job::OwnedJob, queue: Option<&QueueConfig>, wall_ms: u64) -> PlaceRank {
+    let priority = queue.map_or(u32::MAX, |queue| queue.priority);
+    let objective_ms = queue.map_or(u64::MAX, |queue| job.objective_ms(queue));
+    let class = if job.spec.is_lasting() {
+        RankClass::Lasting
+    } else if wall_ms <= objective_ms {
+        RankClass::OnTime
+    } else {
+        RankClass::Late
+    };
+    PlaceRank { class, priority, objective_ms }
+}
--- /dev/null
+++ b/crates/fleet/src/pool/save.rs
@@ -0,0 +1,283 @@
+//! Saves ends and phases, several jobs to a commit.
+//!
+//! Each commit expects the owner's record, so that nobody writes whose pool was
+//! taken, and the revision of each record that it changes, so that one that is
+//! carried out late changes nothing. The roster with the numbers of the ends that
+//! are noted goes with the last of the changed jobs: an end is counted once.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use jobs::{JobOutcome, JobPhase};
+use state::{JobId, MinionId, Moment, Revision};
+
+use super::{PoolCall, PoolOwner, StepContext};
+use crate::io::{ItemValue, PutValue, StoreAnswer, StoreCall, StoreCommit, StoreItem, StorePut};
+use crate::key::{OwnKey, StoreKey};
+use crate::records::{PoolRoster, RosterRow, decode, encode};
+use crate::timing::{COMMIT_RETRY, COMMIT_ROWS, SAVE_GAP};
+
+/// Rows of the owner's record and the roster.
+const FRAME_ROWS: usize = 3;
+/// Most rows of one job.
+const JOB_ROWS: usize = 5;
+/// Ended jobs that are remembered, so that a late watch does not bring them back.
+const REMOVED_KEPT: usize = 10_000;
+
+/// What a commit does to a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct SavedJob {
+    has_progress: bool,
+    has_phase: bool,
+    is_removed: bool,
+}
+
+/// A commit that is not answered.
+#[derive(Debug)]
+struct SaveFlight {
+    jobs: BTreeMap<JobId, SavedJob>,
+    /// The roster's minions with the ends that it notes, if it is written.
+    roster: Option<PoolRoster>,
+}
+
+/// What waits to be saved.
+#[derive(Debug, Default)]
+pub(super) struct SaveState {
+    flight: Option<SaveFlight>,
+    next_at: Moment,
+    pub(super) roster_revision: Revision,
+    /// Minions have joined or gone.
+    pub(super) is_roster_dirty: bool,
+    /// Ends were looked at.
+    pub(super) has_ends: bool,
+    removed: BTreeSet<JobId>,
+    removed_order: VecDeque<JobId>,
+}
+
+impl SaveState {
+    pub(super) fn has_removed(&self, job: &JobId) -> bool {
+        self.removed.contains(job)
+    }
+
+    fn remember_removed(&mut self, job: JobId) {
+        self.removed.insert(job.clone());
+        self.removed_order.push_back(job);
+        if self.removed_order.len() > REMOVED_KEPT
+            && let Some(oldest) = self.removed_order.pop_front()
+        {
+            self.removed.remove(&oldest);
+        }
+    }
+}
+
+impl PoolOwner {
+    fn own(&self, key: impl Fn(state::PoolId) -> OwnKey) -> StoreKey {
+        StoreKey::Own(key(self.pool.clone()))
+    }
+
+    fn job_keys(&self, job: &JobId) -> (StoreKey, StoreKey, StoreKey) {
+        (
+            self.own(|pool| OwnKey::Job(pool, job.clone())),
+            self.own(|pool| OwnKey::Progress(pool, job.clone())),
+            self.own(|pool| OwnKey::Outcome(pool, job.clone())),
+        )
+    }
+
+    pub(super) fn save(&mut self, context: &mut StepContext) {
+        if self.save.flight.is_some() || context.clock.now < self.save.next_at {
+            return;
+        }
+        let dirty: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.is_dirty() && job.queue.is_some())
+            .map(|(name, _)| name.clone())
+            .collect();
+        if dirty.is_empty() && !self.save.is_roster_dirty && !self.save.has_ends {
+            return;
+        }
+        let mut commit = StoreCommit::default();
+        let mut flight = SaveFlight { jobs: BTreeMap::new(), roster: None };
+        commit.expect.push((self.own(OwnKey::Owner), self.token));
+        let mut has_all = true;
+        for job in dirty {
+            if commit.rows() + JOB_ROWS + FRAME_ROWS > COMMIT_ROWS {
+                has_all = false;
+                break;
+            }
+            let saved = self.add_job(&mut commit, &job);
+            flight.jobs.insert(job, saved);
+        }
+        if has_all {
+            let roster = self.roster();
+            let key = self.own(OwnKey::Roster);
+            commit.expect.push((key.clone(), self.save.roster_revision));
+            let value = PutValue::Own(encode(&roster));
+            commit.puts.push(StorePut { key, value, lease: None });
+            flight.roster = Some(roster);
+            self.save.is_roster_dirty = false;
+            self.save.has_ends = false;
+        }
+        self.save.flight = Some(flight);
+        let purpose = self.purpose(PoolCall::Save);
+        context.out.store(context.clock, purpose, StoreCall::Commit(commit));
+    }
+
+    /// Minions that have answered this owner, and those of before that may still
+    /// run something.
+    fn roster(&self) -> PoolRoster {
+        let mut minions: BTreeMap<MinionId, RosterRow> = self.stage.unseen.clone();
+        for (id, minion) in &self.minions {
+            if minion.is_fenced {
+                let row = RosterRow {
+                    address: minion.report.address,
+                    born: minion.report.born,
+                    noted: minion.seen,
+                };
+                minions.insert(id.clone(), row);
+            }
+        }
+        PoolRoster { minions }
+    }
+
+    fn add_job(&mut self, commit: &mut StoreCommit, name: &JobId) -> SavedJob {
+        let (job_key, progress_key, outcome_key) = self.job_keys(name);
+        let Some(job) = self.jobs.get_mut(name) else {
+            return SavedJob { has_progress: false, has_phase: false, is_removed: false };
+        };
+        let is_removed = job.is_finished();
+        let saved = SavedJob {
+            has_progress: job.is_progress_dirty && !is_removed,
+            has_phase: job.is_phase_dirty,
+            is_removed,
+        };
+        commit.expect.push((outcome_key.clone(), job.outcome_revision));
+        if saved.has_phase
+            && let Some(queue) = job.queue.clone()
+        {
+            let value = PutValue::Own(encode(&JobOutcome { phase: job.phase, queue }));
+            commit.puts.push(StorePut { key: outcome_key, value, lease: None });
+        }
+        if saved.has_progress {
+            commit.expect.push((progress_key.clone(), job.progress_revision));
+            let value = PutValue::Own(encode(&job.progress));
+            commit.puts.push(StorePut { key: progress_key, value, lease: None });
+        } else if is_removed {
+            commit.remove.push(job_key);
+            if job.progress_revision.0 > 0 {
+                commit.remove.push(progress_key);
+            }
+        }
+        job.is_progress_dirty = false;
+        job.is_phase_dirty = false;
+        saved
+    }
+
+    pub(super) fn on_saved(&mut self, context: &mut StepContext, answer: StoreAnswer) {
+        let Some(flight) = self.save.flight.take() else { return };
+        self.save.next_at = context.clock.now + SAVE_GAP;
+        match answer {
+            StoreAnswer::Committed(revision) => self.take_committed(flight, revision),
+            StoreAnswer::Conflict(items) => {
+                self.mark_again(flight);
+                self.take_conflict(context, items);
+            }
+            other => {
+                context.out.log("save", &self.pool, format!("{other:?}"), "again");
+                self.mark_again(flight);
+                self.save.next_at = context.clock.now + COMMIT_RETRY;
+            }
+        }
+    }
+
+    fn take_committed(&mut self, flight: SaveFlight, revision: Revision) {
+        for (name, saved) in flight.jobs {
+            let Some(job) = self.jobs.get_mut(&name) else { continue };
+            if saved.has_phase {
+                job.outcome_revision = revision;
+            }
+            if saved.has_progress {
+                job.progress_revision = revision;
+            }
+            if saved.is_removed {
+                self.jobs.remove(&name);
+                self.save.remember_removed(name);
+            }
+        }
+        let Some(roster) = flight.roster else { return };
+        self.save.roster_revision = revision;
+        for (id, row) in roster.minions {
+            let Some(minion) = self.minions.get_mut(&id) else { continue };
+            if minion.report.born == row.born {
+                minion.is_in_roster = true;
+                minion.noted = minion.noted.max(row.noted);
+            }
+        }
+    }
+
+    /// Nobody knows whether the commit took effect: all of it is saved again.
+    fn mark_again(&mut self, flight: SaveFlight) {
+        for (name, saved) in flight.jobs {
+            let Some(job) = self.jobs.get_mut(&name) else { continue };
+            job.is_progress_dirty |= saved.has_progress;
+            job.is_phase_dirty |= saved.has_phase;
+        }
+        if flight.roster.is_some() {
+            self.save.is_roster_dirty = true;
+            self.save.has_ends = true;
+        }
+    }
+
+    fn take_conflict(&mut self, context: &mut StepContext, items: Vec<StoreItem>) {
+        let owner_key = self.own(OwnKey::Owner);
+        let is_owned =
+            items.iter().any(|item| item.key == owner_key && item.revision == self.token);
+        if !is_owned {
+            context.out.log("pool", &self.pool, "its owner's record is not this one", "lost");
+            self.is_lost = true;
+            return;
+        }
+        for item in items {
+            match &item.key {
+                StoreKey::Own(OwnKey::Outcome(_, job)) => {
+                    let ItemValue::Own(bytes) = &item.value else { continue };
+                    match decode::<JobOutcome>(bytes) {
+                        Ok(outcome) => {
+                            let (job, phase) = (job.clone(), outcome.phase);
+                            self.adopt_saved_outcome(context, &job, phase, item.revision);
+                        }
+                        Err(reason) => {
+                            context.out.log("record", job, reason, "cannot be read");
+                        }
+                    }
+                }
+                StoreKey::Own(OwnKey::Progress(_, job)) => {
+                    if let Some(job) = self.jobs.get_mut(job) {
+                        job.progress_revision = item.revision;
+                    }
+                }
+                StoreKey::Own(OwnKey::Roster(_)) => self.save.roster_revision = item.revision,
+                _ => {}
+            }
+        }
+    }
+
+    /// The outcome in the store is another one than expected: a submitter has
+    /// cancelled the job, or a commit of ours without an answer took effect.
+    fn adopt_saved_outcome(
+        &mut self,
+        context: &mut StepContext,
+        job: &JobId,
+        phase: JobPhase,
+        revision: Revision,
+    ) {
+        let is_ours_removed = self.jobs.get(job).is_some_and(|known| {
+            known.outcome_revision != revision && known.phase == phase && known.is_finished()
+        });
+        if is_ours_removed {
+            self.jobs.remove(job);
+            self.save.remember_removed(job.clone());
+        } else {
+            self.adopt_outcome(context, job, phase, revision);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/records.rs
@@ -0,0 +1,79 @@
+//! Records that pollenfall keeps in the store, as JSON texts.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use jobs::Resources;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use state::{DaemonId, Incarnation, MinionId, PoolId, TeamId, VmId};
+
+/// Who owns a pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerRecord {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// Its run.
+    pub incarnation: Incarnation,
+}
+
+/// A minion on which tasks of a pool may run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterRow {
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// When this life began.
+    pub born: u64,
+    /// Ends up to this number are in the jobs' progress.
+    pub noted: u64,
+}
+
+/// Every minion on which tasks of a pool may run.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PoolRoster {
+    /// By minion.
+    pub minions: BTreeMap<MinionId, RosterRow>,
+}
+
+/// A pool's part of a team's limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PoolPart {
+    /// What the pool may have running for the team.
+    pub part: Resources,
+    /// What it would have running if it could.
+    pub want: Resources,
+}
+
+/// All teams' limits, split among pools.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PartsDoc {
+    /// By team and pool.
+    pub teams: BTreeMap<TeamId, BTreeMap<PoolId, PoolPart>>,
+}
+
+/// How far a VM of a wave has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WaveMark {
+    /// It may be down: the order was or is about to be given.
+    Down,
+    /// It has been maintained, or is gone for good.
+    Done,
+}
+
+/// How far a wave has come; VMs that are not in it wait for their turn.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct WaveDoc {
+    /// By VM.
+    pub vms: BTreeMap<VmId, WaveMark>,
+}
+
+/// The bytes of a record.
+pub(crate) fn encode<T: Serialize>(record: &T) -> Box<[u8]> {
+    serde_json::to_vec(record).expect("records have text keys only").into()
+}
+
+/// Reads a record.
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Box<str>> {
+    serde_json::from_slice(bytes).map_err(|error| error.to_string().into())
+}
--- /dev/null
+++ b/crates/fleet/src/session.rs
@@ -0,0 +1,229 @@
+//! Keeps this daemon's lease, and takes pools that nobody owns.
+//!
+//! A pool's owner is whoever created `owner/POOL` under its daemon's lease. The
+//! revision of the creation is the owner's token: unique, and larger than that of
+//! every owner before, also after all daemons have died. This daemon owns a pool
+//! only while its lease surely lasts by its own clock, counted from before the
+//! renewal was sent; it then gives no order and writes nothing.
+//!
+//! Who owns less takes sooner, so pools spread without a plan.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use state::{DaemonId, Incarnation, Millis, Moment, PoolId, Revision};
+
+use crate::event::Clock;
+use crate::io::{LeaseId, PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
+use crate::key::{OwnKey, StoreKey};
+use crate::outbox::{CallPurpose, Outbox};
+use crate::records::{OwnerRecord, encode};
+use crate::shared::SharedIndex;
+use crate::timing::{COMMIT_RETRY, SESSION_MARGIN, SESSION_RENEWAL, SESSION_TTL, TAKE_STEP};
+
+/// Calls of this part.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum SessionCall {
+    Open,
+    Renew(LeaseId),
+    Close,
+    Take(PoolId),
+    Release(PoolId),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    id: LeaseId,
+    valid_until: Moment,
+}
+
+/// This daemon's lease and the pools that it is taking.
+#[derive(Debug)]
+pub(crate) struct Session {
+    daemon: DaemonId,
+    incarnation: Incarnation,
+    lease: Option<Lease>,
+    next_call: Moment,
+    is_calling: bool,
+    takes: BTreeMap<PoolId, Moment>,
+    taking: BTreeSet<PoolId>,
+    is_closing: bool,
+    pub(crate) is_closed: bool,
+}
+
+impl Session {
+    pub(crate) fn new(daemon: DaemonId, incarnation: Incarnation) -> Self {
+        Self {
+            daemon,
+            incarnation,
+            lease: None,
+            next_call: Moment(0),
+            is_calling: false,
+            takes: BTreeMap::new(),
+            taking: BTreeSet::new(),
+            is_closing: false,
+            is_closed: false,
+        }
+    }
+
+    /// Whether what this daemon owns is surely its own at `now`.
+    pub(crate) fn is_valid(&self, now: Moment) -> bool {
+        self.lease.is_some_and(|lease| now < lease.valid_until)
+    }
+
+    /// Whether a record names this run of this daemon.
+    pub(crate) fn is_mine(&self, owner: &OwnerRecord) -> bool {
+        owner.daemon == self.daemon && owner.incarnation == self.incarnation
+    }
+
+    /// Ends the lease, so that others take over at once.
+    pub(crate) fn close(&mut self, clock: Clock, out: &mut Outbox) {
+        self.is_closing = true;
+        match self.lease.take() {
+            Some(lease) => {
+                let request = StoreCall::EndLease(lease.id);
+                out.store(clock, CallPurpose::Session(SessionCall::Close), request);
+            }
+            None => self.is_closed = true,
+        }
+    }
+
+    pub(crate) fn on_tick(
+        &mut self,
+        clock: Clock,
+        out: &mut Outbox,
+        shared: &SharedIndex,
+        owned: usize,
+    ) {
+        if self.is_closing {
+            return;
+        }
+        if !self.is_calling && clock.now >= self.next_call {
+            self.keep(clock, out);
+        }
+        if self.is_valid(clock.now) && shared.is_loaded() {
+            self.take_free_pools(clock, out, shared, owned);
+        }
+    }
+
+    fn keep(&mut self, clock: Clock, out: &mut Outbox) {
+        self.is_calling = true;
+        let (call, request) = match self.lease {
+            Some(lease) => (SessionCall::Renew(lease.id), StoreCall::Renew(lease.id)),
+            None => (SessionCall::Open, StoreCall::Lease(SESSION_TTL)),
+        };
+        out.store(clock, CallPurpose::Session(call), request);
+    }
+
+    fn take_free_pools(
+        &mut self,
+        clock: Clock,
+        out: &mut Outbox,
+        shared: &SharedIndex,
+        owned: usize,
+    ) {
+        let Some(config) = &shared.config else { return };
+        self.takes.retain(|pool, _| config.pools.contains_key(pool));
+        for pool in config.pools.keys() {
+            if shared.owners.contains_key(pool) || self.taking.contains(pool) {
+                self.takes.remove(pool);
+                continue;
+            }
+            let wait = self.wait_before(pool, owned + self.taking.len());
+            let at = *self.takes.entry(pool.clone()).or_insert(clock.now + wait);
+            if clock.now >= at {
+                self.takes.remove(pool);
+                self.take(clock, out, pool);
+                break;
+            }
+        }
+    }
+
+    /// Longer for who owns more; a hash spreads daemons that own as much.
+    fn wait_before(&self, pool: &PoolId, owned: usize) -> Millis {
+        let mut hasher = DefaultHasher::new();
+        (self.daemon.as_str(), pool.as_str()).hash(&mut hasher);
+        Millis(TAKE_STEP.0 * owned as u64 + hasher.finish() % TAKE_STEP.0)
+    }
+
+    fn take(&mut self, clock: Clock, out: &mut Outbox, pool: &PoolId) {
+        let Some(lease) = self.lease else { return };
+        self.taking.insert(pool.clone());
+        let key = StoreKey::Own(OwnKey::Owner(pool.clone()));
+        let record = OwnerRecord { daemon: self.daemon.clone(), incarnation: self.incarnation };
+        let value = PutValue::Own(encode(&record));
+        let commit = StoreCommit {
+            expect: vec![(key.clone(), Revision(0))],
+            puts: vec![StorePut { key, value, lease: Some(lease.id) }],
+            remove: Vec::new(),
+        };
+        let purpose = CallPurpose::Session(SessionCall::Take(pool.clone()));
+        out.store(clock, purpose, StoreCall::Commit(commit));
+    }
+
+    /// Removes the record of a pool that this daemon has given up.
+    pub(crate) fn release(
+        &mut self,
+        clock: Clock,
+        out: &mut Outbox,
+        pool: &PoolId,
+        token: Revision,
+    ) {
+        if !self.taking.insert(pool.clone()) {
+            return;
+        }
+        let key = StoreKey::Own(OwnKey::Owner(pool.clone()));
+        let commit =
+            StoreCommit { expect: vec![(key.clone(), token)], puts: Vec::new(), remove: vec![key] };
+        let purpose = CallPurpose::Session(SessionCall::Release(pool.clone()));
+        out.store(clock, purpose, StoreCall::Commit(commit));
+    }
+
+    /// Takes an answer; the pool and the token when a pool has become this
+    /// daemon's own.
+    pub(crate) fn on_answer(
+        &mut self,
+        clock: Clock,
+        out: &mut Outbox,
+        call: SessionCall,
+        sent: Moment,
+        answer: StoreAnswer,
+    ) -> Option<(PoolId, Revision)> {
+        match call {
+            SessionCall::Take(pool) => {
+                self.taking.remove(&pool);
+                // After an unknown answer the watch shows whose the pool is.
+                if let StoreAnswer::Committed(revision) = answer {
+                    return Some((pool, revision));
+                }
+                self.takes.insert(pool, clock.now + COMMIT_RETRY);
+            }
+            SessionCall::Release(pool) => {
+                self.taking.remove(&pool);
+            }
+            SessionCall::Close => self.is_closed = true,
+            SessionCall::Open | SessionCall::Renew(_) => self.on_lease(clock, out, sent, answer),
+        }
+        None
+    }
+
+    fn on_lease(&mut self, clock: Clock, out: &mut Outbox, sent: Moment, answer: StoreAnswer) {
+        self.is_calling = false;
+        match answer {
+            StoreAnswer::Leased(id, ttl) => {
+                let lasting = Millis(ttl.0.saturating_sub(SESSION_MARGIN.0));
+                if self.lease.is_none() {
+                    out.log("session", id.0, format!("life {ttl}"), "opened");
+                }
+                self.lease = Some(Lease { id, valid_until: sent + lasting });
+                self.next_call = clock.now + SESSION_RENEWAL;
+            }
+            StoreAnswer::Absent => {
+                out.log("session", &self.daemon, "the store does not know the lease", "lost");
+                self.lease = None;
+                self.next_call = clock.now;
+            }
+            _ => self.next_call = clock.now + COMMIT_RETRY,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/shared.rs
@@ -0,0 +1,263 @@
+//! Follows the records that every daemon must know.
+//!
+//! All of them are read once, page by page, and then one watch from the revision of
+//! the first page brings each change. When the history of a watch is gone, all is
+//! read again, and what is not there any more is dropped. Whatever a watch brings
+//! twice is recognised by its revision.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jobs::JobOutcome;
+use state::{DataCentreId, JobId, Moment, PoolId, Revision};
+
+use crate::event::Clock;
+use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
+use crate::key::{KeyScope, OwnKey, StoreKey};
+use crate::model::{FleetConfig, WaveOrder};
+use crate::outbox::{CallPurpose, Outbox};
+use crate::records::{OwnerRecord, PartsDoc, WaveDoc, decode};
+use crate::timing::{READ_RETRY, WATCH_WAIT};
+
+/// Calls of this part.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum SharedCall {
+    Range,
+    Watch,
+}
+
+/// A record with its revisions.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Versioned<T> {
+    pub(crate) record: T,
+    pub(crate) revision: Revision,
+    pub(crate) created: Revision,
+}
+
+/// What a batch of changes touched.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct SharedChanges {
+    pub(crate) config: bool,
+    pub(crate) owners: bool,
+    pub(crate) outcomes: Vec<(PoolId, JobId)>,
+}
+
+/// All shared records.
+#[derive(Debug, Default)]
+pub(crate) struct SharedIndex {
+    pub(crate) config: Option<FleetConfig>,
+    pub(crate) evacuated: BTreeSet<DataCentreId>,
+    pub(crate) waves: BTreeMap<u64, WaveOrder>,
+    pub(crate) wave_docs: BTreeMap<u64, Versioned<WaveDoc>>,
+    pub(crate) owners: BTreeMap<PoolId, Versioned<OwnerRecord>>,
+    pub(crate) outcomes: BTreeMap<(PoolId, JobId), Versioned<JobOutcome>>,
+    pub(crate) parts: Option<Versioned<PartsDoc>>,
+    is_loaded: bool,
+    follow_from: Option<Revision>,
+    seen: BTreeSet<StoreKey>,
+    retry_at: Option<Moment>,
+    is_calling: bool,
+    /// Since when the store has not answered.
+    lost_since: Option<Moment>,
+}
+
+impl SharedIndex {
+    /// Whether everything has been read once.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.is_loaded
+    }
+
+    pub(crate) fn on_tick(&mut self, clock: Clock, out: &mut Outbox) {
+        let is_due = self.retry_at.is_none_or(|at| clock.now >= at);
+        if !self.is_calling && is_due {
+            self.call(clock, out, None);
+        }
+    }
+
+    fn call(&mut self, clock: Clock, out: &mut Outbox, after: Option<StoreKey>) {
+        self.is_calling = true;
+        self.retry_at = None;
+        match self.follow_from {
+            Some(from) if self.is_loaded && after.is_none() => {
+                let request =
+                    StoreCall::Watch { scope: KeyScope::Shared, after: from, wait: WATCH_WAIT };
+                out.store(clock, CallPurpose::Shared(SharedCall::Watch), request);
+            }
+            _ => {
+                if after.is_none() {
+                    self.seen.clear();
+                    self.follow_from = None;
+                }
+                let request = StoreCall::Range { scope: KeyScope::Shared, after };
+                out.store(clock, CallPurpose::Shared(SharedCall::Range), request);
+            }
+        }
+    }
+
+    pub(crate) fn on_answer(
+        &mut self,
+        clock: Clock,
+        out: &mut Outbox,
+        answer: StoreAnswer,
+    ) -> SharedChanges {
+        self.is_calling = false;
+        let mut changes = SharedChanges::default();
+        match answer {
+            StoreAnswer::Items { items, more, at } => {
+                self.regained(clock, out);
+                let last = items.last().map(|item| item.key.clone());
+                self.follow_from.get_or_insert(at);
+                for item in items {
+                    self.seen.insert(item.key.clone());
+                    self.put(item, &mut changes, out);
+                }
+                if !more {
+                    self.drop_unseen(&mut changes);
+                    self.is_loaded = true;
+                }
+                self.call(clock, out, last.filter(|_| more));
+            }
+            StoreAnswer::Events { events, at } => {
+                self.regained(clock, out);
+                self.follow_from = Some(at);
+                for event in events {
+                    match event {
+                        StoreEvent::Put(item) => self.put(item, &mut changes, out),
+                        StoreEvent::Removed(key) => self.remove(&key, &mut changes),
+                    }
+                }
+                self.call(clock, out, None);
+            }
+            StoreAnswer::Compacted => {
+                out.log("shared-records", "watch", "history gone", "read all again");
+                self.follow_from = None;
+                self.call(clock, out, None);
+            }
+            other => {
+                if self.lost_since.is_none() {
+                    self.lost_since = Some(clock.now);
+                    out.log("dependency", "store", format!("{other:?}"), "lost");
+                }
+                self.retry_at = Some(clock.now + READ_RETRY);
+                if !self.is_loaded {
+                    self.follow_from = None;
+                }
+            }
+        }
+        changes
+    }
+
+    fn regained(&mut self, clock: Clock, out: &mut Outbox) {
+        if let Some(since) = self.lost_since.take() {
+            let inputs = format!("lost for {}", clock.now - since);
+            out.log("dependency", "store", inputs, "regained");
+        }
+    }
+
+    fn put(&mut self, item: StoreItem, changes: &mut SharedChanges, out: &mut Outbox) {
+        let StoreItem { key, value, revision, created } = item;
+        match (key, value) {
+            (StoreKey::Config, ItemValue::Config(config)) => {
+                let current = self.config.as_ref().map_or(0, |config| config.version);
+                if config.version > current {
+                    let inputs = format!("version {current} to {}", config.version);
+                    out.log("configuration", revision, inputs, "in force");
+                    self.config = Some(*config);
+                    changes.config = true;
+                }
+            }
+            (StoreKey::Evacuation(place), ItemValue::Evacuation)
+                if self.evacuated.insert(place.clone()) =>
+            {
+                out.log("data-centre", &place, format!("revision {revision}"), "out");
+            }
+            (StoreKey::WaveOrder(wave), ItemValue::Wave(order)) => {
+                self.waves.insert(wave, order);
+            }
+            (StoreKey::Own(key), ItemValue::Own(bytes)) => {
+                if let Err(reason) = self.put_own(&key, &bytes, revision, created, changes) {
+                    out.log("record", &key, format!("{revision}: {reason}"), "passed over");
+                }
+            }
+            (key, ItemValue::Unreadable(reason)) => {
+                out.log("record", format!("{key:?}"), reason, "passed over");
+            }
+            _ => {}
+        }
+    }
+
+    fn put_own(
+        &mut self,
+        key: &OwnKey,
+        bytes: &[u8],
+        revision: Revision,
+        created: Revision,
+        changes: &mut SharedChanges,
+    ) -> Result<(), Box<str>> {
+        match key {
+            OwnKey::Owner(pool) => {
+                let record = decode(bytes)?;
+                self.owners.insert(pool.clone(), Versioned { record, revision, created });
+                changes.owners = true;
+            }
+            OwnKey::Outcome(pool, job) => {
+                let name = (pool.clone(), job.clone());
+                if self.outcomes.get(&name).is_some_and(|known| known.revision >= revision) {
+                    return Ok(());
+                }
+                let record = decode(bytes)?;
+                self.outcomes.insert(name.clone(), Versioned { record, revision, created });
+                changes.outcomes.push(name);
+            }
+            OwnKey::Parts => {
+                self.parts = Some(Versioned { record: decode(bytes)?, revision, created });
+            }
+            OwnKey::Wave(wave) => {
+                let doc = Versioned { record: decode(bytes)?, revision, created };
+                self.wave_docs.insert(*wave, doc);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, key: &StoreKey, changes: &mut SharedChanges) {
+        match key {
+            StoreKey::Evacuation(place) => {
+                self.evacuated.remove(place);
+            }
+            StoreKey::WaveOrder(wave) => {
+                self.waves.remove(wave);
+            }
+            StoreKey::Own(OwnKey::Owner(pool)) => {
+                self.owners.remove(pool);
+                changes.owners = true;
+            }
+            StoreKey::Own(OwnKey::Outcome(pool, job)) => {
+                self.outcomes.remove(&(pool.clone(), job.clone()));
+            }
+            StoreKey::Own(OwnKey::Parts) => self.parts = None,
+            StoreKey::Own(OwnKey::Wave(wave)) => {
+                self.wave_docs.remove(wave);
+            }
+            _ => {}
+        }
+    }
+
+    /// Drops what a full reading did not bring.
+    fn drop_unseen(&mut self, changes: &mut SharedChanges) {
+        let owners = self.owners.keys().map(|pool| OwnKey::Owner(pool.clone()));
+        let outcomes = self.outcomes.keys();
+        let outcomes = outcomes.map(|(pool, job)| OwnKey::Outcome(pool.clone(), job.clone()));
+        let waves = self.wave_docs.keys().map(|wave| OwnKey::Wave(*wave));
+        let parts = self.parts.as_ref().map(|_| OwnKey::Parts);
+        let own = owners.chain(outcomes).chain(waves).chain(parts).map(StoreKey::Own);
+        let evacuated = self.evacuated.iter().map(|place| StoreKey::Evacuation(place.clone()));
+        let orders = self.waves.keys().map(|wave| StoreKey::WaveOrder(*wave));
+        let known = own.chain(evacuated).chain(orders);
+        let gone: Vec<StoreKey> = known.filter(|key| !self.seen.contains(key)).collect();
+        for key in gone {
+            self.remove(&key, changes);
+        }
+        self.seen.clear();
+    }
+}
--- a/crates/state/src/id.rs
+++ b/crates/state/src/id.rs
@@ -104,6 +104,10 @@
     PoolId;
     /// A VM: a minion, a worker or an entry VM.
     VmId;
+    /// A queue: where submitters hand jobs in; a pool runs its tasks.
+    QueueId;
+    /// A minion: one life of a VM in a pool.
+    MinionId;
     /// A data centre.
     DataCentreId;
     /// A rack within a data centre.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -37,13 +37,15 @@
 pub use fault::{ObjectReader, Outline, SettingFault, parse_outline};
 pub use fleet::{FleetDoc, VmListing, VmPresence, VmRecord, VmRole, VmState};
 pub use id::{
-    ChangeId, DaemonId, DataCentreId, IdError, IdempotencyKey, Incarnation, JobId, KeyId, PlanId,
-    PoolId, RackId, RequestId, TeamId, VmId,
+    ChangeId, DaemonId, DataCentreId, IdError, IdempotencyKey, Incarnation, JobId, KeyId, MinionId,
+    PlanId, PoolId, QueueId, RackId, RequestId, TeamId, VmId,
 };
 pub use key::{KeyError, KeyRecord, KeyText, OperatorKey};
 pub use ledger::{DaemonRef, Holdings, SlotDoc};
 pub use lists::{parse_grants, parse_plans};
 pub use member::{MemberDoc, MemberRecord};
-pub use quantity::{Cores, Mebibytes, Millis, Moment, Revision, SlotCount};
+pub use quantity::{
+    AcceleratorCount, Cores, Mebibytes, Millicores, Millis, Moment, Revision, SlotCount,
+};
 pub use settings::{DaemonSettings, LogFormat, parse_daemon_settings};
 pub use team::{JobRecord, JobSpec, JobState, TeamDoc};
--- a/crates/state/src/quantity.rs
+++ b/crates/state/src/quantity.rs
@@ -39,6 +39,10 @@
     Revision(u64), "";
     /// Processor cores.
     Cores(u32), "";
+    /// Thousandths of a processor core.
+    Millicores(u64), "m";
+    /// Accelerators.
+    AcceleratorCount(u32), "";
     /// Memory in MiB.
     Mebibytes(u32), "MiB";
     /// Requests that a minion runs at one time.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,12 +6,14 @@
 //! came, or that neither is certain. The adapters to the platform and to
 //! workers are [`platform`] and [`worker`], and nothing else.
 
+mod caller;
 mod http;
 mod peer;
 mod platform;
 mod server;
 mod worker;
 
+pub use caller::{CallFault, CallMethod, CallRing, OutAnswer, OutCall, run_calls};
 pub use http::{HttpAnswer, HttpCall, HttpFailure, send_http};
 pub use peer::{PeerLink, PeerSettings, start_peer_link};
 pub use platform::call_platform;
