--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -5,7 +5,6 @@
 //! (`docs/PLATFORM.md`, "Libraries"). Connections that fall silent are found by the
 //! call's own time-out and by `TCP_USER_TIMEOUT`.
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -152,17 +151,14 @@
         .build(connector)
 }
 
-fn make_call(
+async fn make_call(
     client: Client<HttpConnector, Full<Bytes>>,
     call: OutCall,
-) -> impl Future<Output = Result<OutAnswer, CallFault>> {
-    async move {
-        let timeout = call.timeout;
-        let exchange = exchange(client, call);
-        match tokio::time::timeout(timeout, exchange).await {
-            Ok(answer) => answer,
-            Err(_) => Err(CallFault::NoAnswer(format!("no answer within {timeout:?}").into())),
-        }
+) -> Result<OutAnswer, CallFault> {
+    let timeout = call.timeout;
+    match tokio::time::timeout(timeout, exchange(client, call)).await {
+        Ok(answer) => answer,
+        Err(_) => Err(CallFault::NoAnswer(format!("no answer within {timeout:?}").into())),
     }
 }
 
