A new owner gives adopted runs a lease; a silent minion gets no longer one

Two runs of one task on one minion then shared a key and hid each other. Change: fencing a minion counts as lending the longest lease; a silent minion is asked without a lease; runs are keyed by task and number; at work means heard within 2 s.

--- a/crates/fleet/src/pool/ends.rs
+++ b/crates/fleet/src/pool/ends.rs
@@ -1,15 +1,15 @@
 //! What minions answer: runs that started, run and have ended.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use jobs::{JobPhase, RunNumber, TaskMark, TaskName};
 use state::{JobId, MinionId, Moment, Revision};
 
 use super::job::{LiveRun, place_of, task_name};
-use super::minion::{MinionRun, RunPhase};
+use super::minion::{MinionRun, RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
 use crate::io::{EndKind, EndedRow, MinionAnswer, OrderRefusal, RunningRow};
-use crate::timing::{HOLD_RETRY, REFUSAL_PAUSE};
+use crate::timing::{HOLD_RETRY, REFUSAL_PAUSE, RUN_LEASE};
 
 impl PoolOwner {
     pub(super) fn on_started(
@@ -29,8 +29,7 @@
         match answer {
             MinionAnswer::Ok { clock_ms } => {
                 minion.set_clock(clock_ms, now);
-                if let Some(known) = minion.runs.get_mut(task)
-                    && known.run == run
+                if let Some(known) = minion.runs.get_mut(&(task.clone(), run))
                     && matches!(known.phase, RunPhase::Starting { .. })
                 {
                     known.phase = RunPhase::Running;
@@ -97,6 +96,7 @@
                     let inputs = format!("{other:?}");
                     context.out.log("hold-failed", id, inputs, "asked again");
                 }
+                minion.is_silent = true;
                 minion.next_hold = now + HOLD_RETRY;
                 minion.pause_until = now + HOLD_RETRY;
             }
@@ -116,16 +116,19 @@
         let Some(minion) = self.minions.get_mut(id) else { return };
         minion.set_clock(clock_ms, now);
         minion.next_hold = now;
+        minion.is_silent = false;
         if !minion.is_fenced {
             minion.is_fenced = true;
+            // An earlier owner's leases last at most so long from here.
+            minion.lend(clock_ms + RUN_LEASE.0, now);
             self.save.is_roster_dirty = true;
         }
         for row in ended {
             self.take_end(context, id, row);
         }
-        let mut listed: BTreeMap<TaskName, RunNumber> = BTreeMap::new();
+        let mut listed: BTreeSet<RunKey> = BTreeSet::new();
         for row in running {
-            listed.insert(row.task.clone(), row.run);
+            listed.insert((row.task.clone(), row.run));
             self.take_running(context, id, row);
         }
         self.drop_missing(context, id, sent, clock_ms, &listed);
@@ -213,9 +216,7 @@
     fn take_running(&mut self, context: &mut StepContext, id: &MinionId, row: RunningRow) {
         let now = context.clock.now;
         let Some(minion) = self.minions.get_mut(id) else { return };
-        if let Some(known) = minion.runs.get_mut(&row.task)
-            && known.run == row.run
-        {
+        if let Some(known) = minion.runs.get_mut(&(row.task.clone(), row.run)) {
             if matches!(known.phase, RunPhase::Starting { .. }) {
                 known.phase = RunPhase::Running;
                 known.known_at = now;
@@ -260,7 +261,6 @@
         }
         let Some(minion) = self.minions.get_mut(id) else { return };
         let run = MinionRun {
-            run: row.run,
             phase: RunPhase::Running,
             takes,
             percent: row.percent,
@@ -268,9 +268,9 @@
             pace: 100,
             known_at: now,
         };
-        minion.insert_run(row.task.clone(), run);
+        minion.insert_run((row.task.clone(), row.run), run);
         if !is_wanted {
-            self.stop_run(context, id, &row.task);
+            self.stop_run(context, id, &row.task, row.run);
         }
     }
 
@@ -281,22 +281,22 @@
         id: &MinionId,
         sent: Moment,
         clock_ms: u64,
-        listed: &BTreeMap<TaskName, RunNumber>,
+        listed: &BTreeSet<RunKey>,
     ) {
         let Some(minion) = self.minions.get(id) else { return };
-        let is_missing = |task: &TaskName, run: &MinionRun| {
-            let is_listed = listed.get(task) == Some(&run.run);
+        let is_missing = |key: &RunKey, run: &MinionRun| {
+            let is_listed = listed.contains(key);
             let should_be = match run.phase {
                 RunPhase::Starting { until_clock } => clock_ms > until_clock,
                 _ => run.known_at < sent,
             };
             should_be && !is_listed
         };
-        let missing: Vec<(TaskName, RunNumber)> = minion
+        let missing: Vec<RunKey> = minion
             .runs
             .iter()
-            .filter(|(task, run)| is_missing(task, run))
-            .map(|(task, run)| (task.clone(), run.run))
+            .filter(|(key, run)| is_missing(key, run))
+            .map(|(key, _)| key.clone())
             .collect();
         for (task, run) in missing {
             context.out.log("run", &task, format!("run {run} on {id}"), "never ran or is gone");
@@ -307,7 +307,7 @@
     /// Forgets a run and lets its task start again.
     pub(super) fn end_run(&mut self, id: &MinionId, task: &TaskName, run: RunNumber) {
         if let Some(minion) = self.minions.get_mut(id) {
-            minion.remove_run(task, run);
+            minion.remove_run(&(task.clone(), run));
         }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let place = place_of(task);
@@ -327,13 +327,13 @@
             return;
         }
         let range = (occurrence, step, 0)..=(occurrence, step, u32::MAX);
-        let members: Vec<(MinionId, TaskName)> = job
+        let members: Vec<(MinionId, RunKey)> = job
             .live
             .range(range)
-            .map(|(place, live)| (live.minion.clone(), task_name(&task.job, *place)))
+            .map(|(place, live)| (live.minion.clone(), (task_name(&task.job, *place), live.run)))
             .collect();
-        for (minion, member) in members {
-            self.stop_run(context, &minion, &member);
+        for (minion, (member, run)) in members {
+            self.stop_run(context, &minion, &member, run);
         }
     }
 
--- a/crates/fleet/src/pool/limits.rs
+++ b/crates/fleet/src/pool/limits.rs
@@ -198,7 +198,7 @@
     fn used_by_team(&self) -> BTreeMap<TeamId, Resources> {
         let mut used: BTreeMap<TeamId, Resources> = BTreeMap::new();
         for minion in self.minions.values() {
-            for (task, run) in &minion.runs {
+            for ((task, _), run) in &minion.runs {
                 let team = self.jobs.get(&task.job).and_then(|job| job.spec.team.as_ref());
                 if let Some(team) = team {
                     let sum = used.entry(team.clone()).or_default();
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -9,7 +9,7 @@
 use state::{Millis, Moment};
 
 use crate::model::MinionReport;
-use crate::timing::CLOCK_ERROR_PERMILLE;
+use crate::timing::{CLOCK_ERROR_PERMILLE, HEARD_SPAN};
 
 /// How far a run has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,10 +22,12 @@
     Stopping { again_at: Moment },
 }
 
+/// Names a run.
+pub(super) type RunKey = (TaskName, RunNumber);
+
 /// A run on a minion.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct MinionRun {
-    pub(super) run: RunNumber,
     pub(super) phase: RunPhase,
     /// What it takes of the minion's room.
     pub(super) takes: Resources,
@@ -49,7 +51,7 @@
     pub(super) is_in_roster: bool,
     clock: Option<(u64, Moment)>,
     lapse_at: Moment,
-    pub(super) runs: BTreeMap<TaskName, MinionRun>,
+    pub(super) runs: BTreeMap<RunKey, MinionRun>,
     /// Sum of what the runs take.
     pub(super) used: Resources,
     /// Largest number of an end that was looked at.
@@ -57,6 +59,8 @@
     /// Largest number of an end that is saved.
     pub(super) noted: u64,
     pub(super) is_holding: bool,
+    /// The newest hold was not answered.
+    pub(super) is_silent: bool,
     pub(super) next_hold: Moment,
     pub(super) last_hold: Moment,
     /// It gets no start until then.
@@ -79,6 +83,7 @@
             seen: noted,
             noted,
             is_holding: false,
+            is_silent: false,
             next_hold: Moment(0),
             last_hold: Moment(0),
             pause_until: Moment(0),
@@ -124,17 +129,18 @@
         now >= self.lapse_at
     }
 
-    pub(super) fn insert_run(&mut self, task: TaskName, run: MinionRun) {
+    pub(super) fn insert_run(&mut self, key: RunKey, run: MinionRun) {
         self.used = self.used.plus(&run.takes);
-        self.runs.insert(task, run);
+        self.runs.insert(key, run);
     }
 
-    pub(super) fn remove_run(&mut self, task: &TaskName, run: RunNumber) -> Option<MinionRun> {
-        if self.runs.get(task).is_none_or(|known| known.run != run) {
-            return None;
-        }
-        let removed = self.runs.remove(task)?;
+    pub(super) fn remove_run(&mut self, key: &RunKey) {
+        self.runs.remove(key);
         self.used = self.runs.values().fold(Resources::default(), |sum, run| sum.plus(&run.takes));
-        Some(removed)
+    }
+
+    /// Whether it has answered so lately that what it said still counts.
+    pub(super) fn is_heard(&self, now: Moment) -> bool {
+        self.clock.is_some_and(|(_, at)| now <= at + HEARD_SPAN)
     }
 }
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -1,9 +1,10 @@
 //! Holds, stops and the leases of minions.
 
 use jobs::{RunNumber, TaskName};
-use state::{Millis, MinionId, Moment};
+use state::{JobId, Millis, MinionId, Moment};
 
-use super::minion::{OwnedMinion, RunPhase};
+use super::job::task_name;
+use super::minion::{OwnedMinion, RunKey, RunPhase};
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{MinionCall, MinionTarget};
 use crate::timing::{HOLD_PERIOD, HOLD_WAIT, RUN_LEASE, STOP_RETRY};
@@ -80,8 +81,7 @@
     /// Nothing runs on a minion any more: its tasks may start elsewhere.
     pub(super) fn void_runs(&mut self, context: &mut StepContext, id: &MinionId, why: &str) {
         let Some(minion) = self.minions.get(id) else { return };
-        let runs: Vec<(TaskName, RunNumber)> =
-            minion.runs.iter().map(|(task, run)| (task.clone(), run.run)).collect();
+        let runs: Vec<RunKey> = minion.runs.keys().cloned().collect();
         for (task, run) in runs {
             context.out.log("run", &task, format!("run {run} on {id}"), why.to_owned());
             self.end_run(id, &task, run);
@@ -136,7 +136,10 @@
         minion.is_holding = true;
         minion.last_hold = now;
         let lease = RUN_LEASE.min(context.settings.longest_hold);
-        let until_clock = minion.clock_at(now).map(|clock| clock + lease.0);
+        // A minion that does not answer gets no longer lease: else what runs on it
+        // could never be given up.
+        let clock = minion.clock_at(now).filter(|_| !minion.is_silent);
+        let until_clock = clock.map(|clock| clock + lease.0);
         if let Some(until) = until_clock {
             minion.lend(until, now);
         }
@@ -150,12 +153,18 @@
     }
 
     /// Stops a run; its room is free when its end is listed.
-    pub(super) fn stop_run(&mut self, context: &mut StepContext, id: &MinionId, task: &TaskName) {
+    pub(super) fn stop_run(
+        &mut self,
+        context: &mut StepContext,
+        id: &MinionId,
+        task: &TaskName,
+        number: RunNumber,
+    ) {
         let now = context.clock.now;
         let Some(minion) = self.minions.get_mut(id) else { return };
-        let Some(run) = minion.runs.get_mut(task) else { return };
+        let Some(run) = minion.runs.get_mut(&(task.clone(), number)) else { return };
         run.phase = RunPhase::Stopping { again_at: now + STOP_RETRY };
-        let order = MinionCall::Stop { task: task.clone(), run: run.run };
+        let order = MinionCall::Stop { task: task.clone(), run: number };
         let target = target_of(minion);
         let purpose = self.purpose(PoolCall::Stop);
         context.out.minion(context.clock, purpose, target, self.token.0, order);
@@ -168,27 +177,27 @@
         }
         let mut due = Vec::new();
         for (id, minion) in &self.minions {
-            for (task, run) in &minion.runs {
+            for (key, run) in &minion.runs {
                 if matches!(run.phase, RunPhase::Stopping { again_at } if now >= again_at) {
-                    due.push((id.clone(), task.clone()));
+                    due.push((id.clone(), key.clone()));
                 }
             }
         }
-        for (id, task) in due {
-            self.stop_run(context, &id, &task);
+        for (id, (task, run)) in due {
+            self.stop_run(context, &id, &task, run);
         }
     }
 
     /// Stops all of a job that runs.
-    pub(super) fn stop_job(&mut self, context: &mut StepContext, job: &state::JobId) {
+    pub(super) fn stop_job(&mut self, context: &mut StepContext, job: &JobId) {
         let Some(owned) = self.jobs.get(job) else { return };
-        let live: Vec<(MinionId, TaskName)> = owned
+        let live: Vec<(MinionId, RunKey)> = owned
             .live
             .iter()
-            .map(|(place, live)| (live.minion.clone(), super::job::task_name(job, *place)))
+            .map(|(place, live)| (live.minion.clone(), (task_name(job, *place), live.run)))
             .collect();
-        for (minion, task) in live {
-            self.stop_run(context, &minion, &task);
+        for (minion, (task, run)) in live {
+            self.stop_run(context, &minion, &task, run);
         }
     }
 }
--- a/crates/fleet/src/pool/pace.rs
+++ b/crates/fleet/src/pool/pace.rs
@@ -22,12 +22,12 @@
         let Some(minion) = self.minions.get(id) else { return };
         let mut worst = None;
         let mut fillers: Vec<(TaskName, RunNumber, u8)> = Vec::new();
-        for (task, run) in &minion.runs {
+        for ((task, number), run) in &minion.runs {
             let step = self.jobs.get(&task.job);
             let step = step.and_then(|job| job.spec.steps.get(usize::from(place_of(task).1)));
             let Some(step) = step.filter(|step| step.lasting) else { continue };
             if step.filler && run.phase == RunPhase::Running {
-                fillers.push((task.clone(), run.run, run.pace));
+                fillers.push((task.clone(), *number, run.pace));
             }
             if let (Some(target), Some(tail)) = (step.target, run.gauge) {
                 worst = worst.max(Some(tail * 100 / target.0.max(1)));
@@ -56,7 +56,7 @@
         worst: Option<u64>,
     ) {
         let Some(minion) = self.minions.get_mut(id) else { return };
-        let Some(known) = minion.runs.get_mut(task) else { return };
+        let Some(known) = minion.runs.get_mut(&(task.clone(), run)) else { return };
         let inputs = format!("pace {}, worst tail {worst:?} % of its target", known.pace);
         context.out.log("pace", task, inputs, format!("{percent} %"));
         known.pace = percent;
@@ -76,9 +76,9 @@
         percent: u8,
         answer: &MinionAnswer,
     ) {
-        let known = self.minions.get_mut(id).and_then(|minion| minion.runs.get_mut(task));
+        let known =
+            self.minions.get_mut(id).and_then(|minion| minion.runs.get_mut(&(task.clone(), run)));
         if let Some(known) = known
-            && known.run == run
             && known.pace == percent
             && !matches!(answer, MinionAnswer::Ok { .. })
         {
--- a/crates/fleet/src/pool/place.rs
+++ b/crates/fleet/src/pool/place.rs
@@ -211,9 +211,8 @@
         );
         context.out.log("start", &task, inputs, id.to_string());
         minion.insert_run(
-            task.clone(),
+            (task.clone(), run),
             MinionRun {
-                run,
                 phase: RunPhase::Starting { until_clock },
                 takes,
                 percent: 0,
--- a/crates/fleet/src/pool/upkeep.rs
+++ b/crates/fleet/src/pool/upkeep.rs
@@ -14,7 +14,7 @@
 use state::{MinionId, Moment, Revision, VmId};
 
 use super::job::place_of;
-use super::minion::RunPhase;
+use super::minion::{RunKey, RunPhase};
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{CloudAnswer, CloudCall, PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
 use crate::key::{OwnKey, StoreKey};
@@ -227,21 +227,21 @@
     /// their step may miss, if `keeps_bound`.
     fn empty_minion(&mut self, context: &mut StepContext, id: &MinionId, keeps_bound: bool) {
         let Some(minion) = self.minions.get(id) else { return };
-        let running: Vec<TaskName> = minion
+        let running: Vec<RunKey> = minion
             .runs
             .iter()
             .filter(|(_, run)| run.phase == RunPhase::Running)
-            .map(|(task, _)| task.clone())
+            .map(|(key, _)| key.clone())
             .collect();
-        for task in running {
-            if self.may_stop(&task, keeps_bound) {
+        for (task, run) in running {
+            if self.may_stop(&task, keeps_bound, context.clock.now) {
                 context.out.log("move", &task, format!("{id} is emptied"), "stopped");
-                self.stop_run(context, id, &task);
+                self.stop_run(context, id, &task, run);
             }
         }
     }
 
-    fn may_stop(&self, task: &TaskName, keeps_bound: bool) -> bool {
+    fn may_stop(&self, task: &TaskName, keeps_bound: bool, now: Moment) -> bool {
         let Some(job) = self.jobs.get(&task.job) else { return true };
         let place = place_of(task);
         let Some(step) = job.spec.steps.get(usize::from(place.1)) else { return true };
@@ -253,18 +253,23 @@
         }
         let at_work = (0..step.tasks)
             .filter(|index| *index != place.2)
-            .filter(|index| self.is_at_work(task, *index))
+            .filter(|index| self.is_at_work(task, *index, now))
             .count() as u32;
         let away = step.tasks - 1 - at_work;
         away < step.may_miss.max(1)
     }
 
-    /// Whether another task of the same step is at work.
-    fn is_at_work(&self, task: &TaskName, index: u32) -> bool {
+    /// Whether another task of the same step is at work, as its minion lately said.
+    fn is_at_work(&self, task: &TaskName, index: u32, now: Moment) -> bool {
         let other = TaskName { index, ..task.clone() };
-        let live = self.jobs.get(&task.job).and_then(|job| job.live.get(&place_of(&other)));
-        let run = live.and_then(|live| self.minions.get(&live.minion)?.runs.get(&other));
-        run.is_some_and(|run| run.phase == RunPhase::Running && run.percent >= 100)
+        let job = self.jobs.get(&task.job);
+        let Some(live) = job.and_then(|job| job.live.get(&place_of(&other))) else {
+            return false;
+        };
+        let Some(minion) = self.minions.get(&live.minion) else { return false };
+        let run = minion.runs.get(&(other, live.run));
+        minion.is_heard(now)
+            && run.is_some_and(|run| run.phase == RunPhase::Running && run.percent >= 100)
     }
 
     fn write_wave(&mut self, context: &mut StepContext, order: &WaveOrder, next: WaveDoc) {
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -34,6 +34,8 @@
 pub(crate) const HOLD_WAIT: Millis = Millis(1_200);
 /// Time after which leases are renewed even while ends wait for the store.
 pub(crate) const HOLD_PERIOD: Millis = Millis(1_000);
+/// Time for which a minion's answer counts as what it does now.
+pub(crate) const HEARD_SPAN: Millis = Millis(2_000);
 /// Time before a failed hold is tried again.
 pub(crate) const HOLD_RETRY: Millis = Millis(250);
 /// Time before a stop without a listed end is sent again.
