--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -155,7 +155,7 @@
         for (pool, job) in &changes.outcomes {
             self.with_pool(clock, pool, |owner, context| owner.on_outcome(context, job));
         }
-        self.each_pool(clock, |owner, context| owner.go_on(context));
+        self.each_pool(clock, |owner, context| owner.on_shared(context));
     }
 
     /// Takes over what a commit without an answer gave this daemon, and gives up
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -9,7 +9,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use jobs::{JobOutcome, JobPhase, JobSpec};
+use jobs::{AcceptedJob, JobOutcome, JobPhase};
 use state::{JobId, Millis, Moment, PoolId, QueueId, Revision};
 
 use crate::event::{ClientAction, ClientAnswer, ClientCall, Clock, RequestToken};
@@ -42,7 +42,7 @@
 
 #[derive(Debug)]
 enum OpenWork {
-    Submit { queue: QueueId, spec: Box<JobSpec> },
+    Submit(Box<AcceptedJob>),
     Cancel,
     Show,
 }
@@ -124,17 +124,18 @@
         };
         match call.action {
             ClientAction::Submit(Err(reason)) => Some(ClientAnswer::Malformed(reason)),
-            ClientAction::Submit(Ok(mut spec)) => {
+            ClientAction::Submit(Ok(spec)) => {
                 if known.is_some() {
                     return Some(ClientAnswer::Accepted);
                 }
-                spec.team = team.filter(|_| !queue.is_open).map(|team| team.team.clone());
-                spec.accepted_ms = clock.wall_ms;
                 if let Err(fault) = spec.check() {
                     return Some(ClientAnswer::Malformed(fault.to_string().into()));
                 }
-                let work = OpenWork::Submit { queue: queue.queue.clone(), spec: Box::new(spec) };
-                self.open.insert(call.token, open(work));
+                let team = team.filter(|_| !queue.is_open).map(|team| team.team.clone());
+                let queue = queue.queue.clone();
+                let accepted_ms = clock.wall_ms;
+                let job = AcceptedJob { queue, team, accepted_ms, spec };
+                self.open.insert(call.token, open(OpenWork::Submit(Box::new(job))));
                 self.waiting.push_back(call.token);
                 self.send_waiting(clock, out);
                 None
@@ -180,13 +181,13 @@
 
     fn add_submission(&self, commit: &mut StoreCommit, token: RequestToken) {
         let Some(request) = self.open.get(&token) else { return };
-        let OpenWork::Submit { queue, spec } = &request.work else { return };
-        let outcome = JobOutcome { phase: JobPhase::Queued, queue: queue.clone() };
+        let OpenWork::Submit(accepted) = &request.work else { return };
+        let outcome = JobOutcome { phase: JobPhase::Queued, queue: accepted.queue.clone() };
         let (job, shown) =
             (job_key(&request.pool, &request.job), outcome_key(&request.pool, &request.job));
         commit.expect.push((job.clone(), Revision(0)));
         commit.expect.push((shown.clone(), Revision(0)));
-        commit.puts.push(put(job, encode(spec)));
+        commit.puts.push(put(job, encode(accepted)));
         commit.puts.push(put(shown, encode(&outcome)));
     }
 
@@ -376,7 +377,7 @@
             }
             request.retry_at = None;
             match request.work {
-                OpenWork::Submit { .. } => self.waiting.push_back(*token),
+                OpenWork::Submit(_) => self.waiting.push_back(*token),
                 OpenWork::Cancel | OpenWork::Show => {
                     look(clock, out, *token, &request.pool, &request.job);
                 }
--- a/crates/fleet/src/pool/ends.rs
+++ b/crates/fleet/src/pool/ends.rs
@@ -205,7 +205,7 @@
         job.progress.set(place.0, place.1, place.2, TaskMark::Open(failed + 1));
         job.is_progress_dirty = true;
         let config = context.shared.config.as_ref();
-        let queue = job.queue.as_ref().and_then(|queue| config?.queue(queue));
+        let queue = config.and_then(|config| config.queue(&job.queue));
         // Without its queue's configuration a job is not given up.
         let attempts = queue.map_or(u32::MAX, |queue| queue.attempts);
         if u32::from(failed) + 1 >= attempts {
@@ -249,6 +249,7 @@
             .and_then(|job| job.spec.steps.get(usize::from(place.1)))
             .map(super::place::takes_of)
             .unwrap_or_default();
+        let team = job.as_ref().and_then(|job| job.team.clone());
         let is_wanted = job.as_ref().is_some_and(|job| {
             !job.phase.is_final()
                 && !job.live.contains_key(&place)
@@ -268,6 +269,7 @@
         let Some(minion) = self.minions.get_mut(id) else { return };
         let run = MinionRun {
             phase: RunPhase::Running,
+            team,
             takes,
             percent: row.percent,
             gauge: row.gauge,
@@ -351,12 +353,7 @@
         phase: JobPhase,
         revision: Revision,
     ) {
-        let key = (self.pool.clone(), job.clone());
         let Some(owned) = self.jobs.get_mut(job) else { return };
-        if owned.queue.is_none() {
-            let known = context.shared.outcomes.get(&key);
-            owned.queue = known.map(|known| known.record.queue.clone());
-        }
         if revision <= owned.outcome_revision {
             return;
         }
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use jobs::{JobPhase, JobProgress, JobSpec, RunNumber, TaskMark, TaskName};
-use state::{JobId, MinionId, QueueId, Revision};
+use jobs::{AcceptedJob, JobPhase, JobProgress, JobSpec, Resources, RunNumber, TaskMark, TaskName};
+use state::{JobId, MinionId, QueueId, Revision, TeamId};
 
+use super::place::takes_of;
 use crate::model::QueueConfig;
 
 /// A task within its job: occurrence, step, index.
@@ -21,7 +22,10 @@
 #[derive(Debug)]
 pub(super) struct OwnedJob {
     pub(super) spec: JobSpec,
-    pub(super) queue: Option<QueueId>,
+    pub(super) queue: QueueId,
+    pub(super) team: Option<TeamId>,
+    /// Milliseconds since 1970.
+    pub(super) accepted_ms: u64,
     pub(super) phase: JobPhase,
     pub(super) outcome_revision: Revision,
     pub(super) progress: JobProgress,
@@ -36,15 +40,17 @@
     pub(super) is_progress_dirty: bool,
     /// The phase must be saved.
     pub(super) is_phase_dirty: bool,
-    /// An earlier owner may have started some of it.
+    /// An earlier owner may have started some of it that is not seen yet.
     pub(super) is_inherited: bool,
 }
 
 impl OwnedJob {
-    pub(super) fn new(spec: JobSpec, phase: JobPhase, outcome_revision: Revision) -> Self {
+    pub(super) fn new(accepted: AcceptedJob, phase: JobPhase, outcome_revision: Revision) -> Self {
         Self {
-            spec,
-            queue: None,
+            spec: accepted.spec,
+            queue: accepted.queue,
+            team: accepted.team,
+            accepted_ms: accepted.accepted_ms,
             phase,
             outcome_revision,
             progress: JobProgress::default(),
@@ -65,9 +71,9 @@
         self.is_progress_dirty || self.is_phase_dirty || self.is_finished()
     }
 
-    /// Whether its records can go.
+    /// Whether its records can go: nothing of it runs, seen or unseen.
     pub(super) fn is_finished(&self) -> bool {
-        self.phase.is_final() && self.live.is_empty()
+        self.phase.is_final() && self.live.is_empty() && !self.is_inherited
     }
 
     /// Makes the tasks of each step ready whose time and turn have come.
@@ -128,6 +134,19 @@
         }
     }
 
+    /// What all tasks that may start would take.
+    pub(super) fn ready_needs(&self) -> Resources {
+        let mut sum = Resources::default();
+        for ((_, step), tasks) in &self.ready {
+            let Some(spec) = self.spec.steps.get(usize::from(*step)) else { continue };
+            let takes = takes_of(spec);
+            for _ in tasks {
+                sum = sum.plus(&takes);
+            }
+        }
+        sum
+    }
+
     /// A number that is larger than that of every run before, also of earlier owners.
     pub(super) fn next_run(&mut self, token: Revision) -> RunNumber {
         /// Starts of one job under one owner stay below this.
@@ -146,7 +165,7 @@
     pub(super) fn objective_ms(&self, queue: &QueueConfig) -> u64 {
         let chain = self.spec.longest_chain().0 as f64 * queue.stretch;
         let occurrence = self.ready.keys().next().map_or(0, |(occurrence, _)| *occurrence);
-        let begin = self.spec.due_ms(occurrence).max(self.spec.accepted_ms);
+        let begin = self.spec.due_ms(occurrence).max(self.accepted_ms);
         begin + chain as u64 + queue.aim.0
     }
 }
--- a/crates/fleet/src/pool/limits.rs
+++ b/crates/fleet/src/pool/limits.rs
@@ -52,6 +52,15 @@
         false
     }
 
+    /// Uses only what a record that may be in force allows too.
+    fn keep_to_written(&mut self, pool: &PoolId) {
+        let Some(written) = &self.written else { return };
+        let after = parts_of(written, pool);
+        for (team, part) in &mut self.parts {
+            *part = lesser(part, &after.get(team).copied().unwrap_or_default());
+        }
+    }
+
     pub(super) fn add(&mut self, team: Option<&TeamId>, more: &Resources) {
         if let Some(team) = team {
             let used = self.used.entry(team.clone()).or_default();
@@ -128,6 +137,10 @@
 impl PoolOwner {
     /// Counts what runs, and writes the parts anew when something is to change.
     pub(super) fn share_limits(&mut self, context: &mut StepContext) {
+        // Before it is known what runs, a part would seem free that is in use.
+        if !self.stage.is_loaded() {
+            return;
+        }
         let Some(config) = context.shared.config.as_ref() else { return };
         self.limits.limited = config.teams.iter().map(|team| team.team.clone()).collect();
         self.limits.used = self.used_by_team();
@@ -138,12 +151,7 @@
         self.limits.newer.take_if(|newer| newer.1 <= shared.1);
         let (doc, revision) = self.limits.newer.clone().unwrap_or(shared);
         self.limits.parts = parts_of(&doc, &self.pool);
-        if let Some(written) = &self.limits.written {
-            let after = parts_of(written, &self.pool);
-            for (team, part) in &mut self.limits.parts {
-                *part = lesser(part, &after.get(team).copied().unwrap_or_default());
-            }
-        }
+        self.limits.keep_to_written(&self.pool);
         if self.limits.is_writing || context.clock.now < self.limits.next_at {
             return;
         }
@@ -166,6 +174,7 @@
             remove: Vec::new(),
         };
         self.limits.written = Some(next);
+        self.limits.keep_to_written(&self.pool);
         let purpose = self.purpose(PoolCall::Parts);
         context.out.store(context.clock, purpose, StoreCall::Commit(commit));
     }
@@ -195,15 +204,18 @@
         }
     }
 
+    /// What runs, and what an earlier owner may have started that is not seen yet.
     fn used_by_team(&self) -> BTreeMap<TeamId, Resources> {
         let mut used: BTreeMap<TeamId, Resources> = BTreeMap::new();
-        for minion in self.minions.values() {
-            for ((task, _), run) in &minion.runs {
-                let team = self.jobs.get(&task.job).and_then(|job| job.spec.team.as_ref());
-                if let Some(team) = team {
-                    let sum = used.entry(team.clone()).or_default();
-                    *sum = sum.plus(&run.takes);
-                }
+        for job in self.jobs.values().filter(|job| job.is_inherited) {
+            let Some(team) = &job.team else { continue };
+            let sum = used.entry(team.clone()).or_default();
+            *sum = sum.plus(&job.ready_needs());
+        }
+        for run in self.minions.values().flat_map(|minion| minion.runs.values()) {
+            if let Some(team) = &run.team {
+                let sum = used.entry(team.clone()).or_default();
+                *sum = sum.plus(&run.takes);
             }
         }
         used
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use jobs::{JobPhase, JobProgress, JobSpec};
+use jobs::{AcceptedJob, JobPhase, JobProgress};
 use state::{JobId, Millis, MinionId, Moment, Revision};
 
 use super::job::OwnedJob;
@@ -10,7 +10,7 @@
 use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
 use crate::key::{KeyScope, OwnKey, StoreKey};
 use crate::records::{PoolRoster, RosterRow, decode};
-use crate::timing::{CLOCK_ERROR_PERMILLE, READ_RETRY, RUN_LEASE, WATCH_WAIT};
+use crate::timing::{CLOCK_ERROR_PERMILLE, READ_RETRY, ROSTER_KEPT, RUN_LEASE, WATCH_WAIT};
 
 /// How far reading has come.
 #[derive(Debug, Default)]
@@ -18,8 +18,9 @@
     has_roster: bool,
     has_jobs: bool,
     has_progress: bool,
+    is_clear: bool,
+    is_reading_jobs: bool,
     follow_from: Option<Revision>,
-    is_following: bool,
     progress: BTreeMap<JobId, (JobProgress, Revision)>,
     /// Roster's minions that have not shown what runs on them.
     pub(super) unseen: BTreeMap<MinionId, RosterRow>,
@@ -46,14 +47,25 @@
             PoolCall::LoadJobs => StoreCall::Range { scope: KeyScope::Jobs(pool), after },
             _ => {
                 let after = self.stage.follow_from.unwrap_or_default();
-                self.stage.is_following = true;
                 StoreCall::Watch { scope: KeyScope::Jobs(pool), after, wait: WATCH_WAIT }
             }
         };
         context.out.store(context.clock, self.purpose(call), request);
     }
 
+    /// Reads the jobs once the shared records are as new as this owner: they then
+    /// have every cancellation that came before it.
+    pub(super) fn load_jobs(&mut self, context: &mut StepContext) {
+        let owner = context.shared.owners.get(&self.pool);
+        let is_followed = owner.is_some_and(|owner| owner.created >= self.token);
+        if self.stage.has_progress && !self.stage.is_reading_jobs && is_followed {
+            self.stage.is_reading_jobs = true;
+            self.read(context, PoolCall::LoadJobs, None);
+        }
+    }
+
     pub(super) fn retry_load(&mut self, context: &mut StepContext) {
+        self.load_jobs(context);
         let now = context.clock.now;
         let retry = std::mem::take(&mut self.stage.retry);
         for (at, call, after) in retry {
@@ -85,7 +97,7 @@
                     return self.read(context, PoolCall::LoadProgress, last);
                 }
                 self.stage.has_progress = true;
-                self.read(context, PoolCall::LoadJobs, None);
+                self.load_jobs(context);
             }
             (PoolCall::LoadJobs, StoreAnswer::Items { items, more, at }) => {
                 self.stage.follow_from.get_or_insert(at);
@@ -172,8 +184,8 @@
         if self.jobs.contains_key(job) || self.save.has_removed(job) {
             return;
         }
-        let spec = match decode::<JobSpec>(bytes) {
-            Ok(spec) => spec,
+        let accepted = match decode::<AcceptedJob>(bytes) {
+            Ok(accepted) => accepted,
             Err(reason) => return self.log_unreadable(context, &item.key, &reason),
         };
         // The outcome was created by the same commit, so it has the same revision
@@ -182,10 +194,8 @@
         let (phase, revision) = known.map_or((JobPhase::Queued, item.revision), |known| {
             (known.record.phase, known.revision)
         });
-        let queue = known.map(|known| known.record.queue.clone());
         let (progress, progress_revision) = self.stage.progress.remove(job).unwrap_or_default();
-        let mut owned = OwnedJob::new(spec, phase, revision);
-        owned.queue = queue;
+        let mut owned = OwnedJob::new(accepted, phase, revision);
         owned.progress = progress;
         owned.progress_revision = progress_revision;
         owned.is_inherited = is_inherited;
@@ -199,9 +209,20 @@
         context.out.log("record", format!("{key:?}"), reason, "cannot be read");
     }
 
-    /// Whether nothing that an earlier owner started can still run unseen.
-    pub(super) fn is_past_clear(&self, now: Moment) -> bool {
+    /// Ends the caution for what an earlier owner may have started, once nothing of
+    /// it can run unseen.
+    pub(super) fn clear_past(&mut self, now: Moment) {
         let longest = RUN_LEASE.0 + RUN_LEASE.0 * CLOCK_ERROR_PERMILLE / 1_000 + 500;
-        self.stage.unseen.is_empty() || now >= self.taken_at + Millis(longest)
+        let is_lapsed = now >= self.taken_at + Millis(longest);
+        if !self.stage.is_clear && (self.stage.unseen.is_empty() || is_lapsed) {
+            self.stage.is_clear = true;
+            for job in self.jobs.values_mut() {
+                job.is_inherited = false;
+            }
+        }
+        if !self.stage.unseen.is_empty() && now >= self.taken_at + ROSTER_KEPT {
+            self.stage.unseen.clear();
+            self.save.is_roster_dirty = true;
+        }
     }
 }
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use jobs::{Resources, RunNumber, TaskName};
-use state::{Millis, Moment};
+use state::{Millis, Moment, TeamId};
 
 use crate::model::MinionReport;
 use crate::timing::{CLOCK_ERROR_PERMILLE, HEARD_SPAN};
@@ -29,6 +29,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct MinionRun {
     pub(super) phase: RunPhase,
+    /// Whose limit it counts against.
+    pub(super) team: Option<TeamId>,
     /// What it takes of the minion's room.
     pub(super) takes: Resources,
     pub(super) percent: u8,
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// The shared records have changed.
+    pub(crate) fn on_shared(&mut self, context: &mut StepContext) {
+        self.load_jobs(context);
+        self.go_on(context);
+    }
+
     /// The registry was read anew.
     pub(crate) fn on_registry(&mut self, context: &mut StepContext) {
         self.follow_registry(context);
@@ -187,6 +193,9 @@
         if !context.is_valid || self.is_lost {
             return;
         }
+        if self.stage.is_loaded() {
+            self.clear_past(context.clock.now);
+        }
         self.share_limits(context);
         if self.stage.is_loaded() {
             self.place(context);
--- a/crates/fleet/src/pool/place.rs
+++ b/crates/fleet/src/pool/place.rs
@@ -59,7 +59,7 @@
         for (_, job) in self.ranked_jobs(context, config) {
             let Some(owned) = self.jobs.get(&job) else { continue };
             let groups: Vec<(u32, u16)> = owned.ready.keys().copied().collect();
-            let team = owned.spec.team.clone();
+            let team = owned.team.clone();
             for (occurrence, step) in groups {
                 let Some(spec) = self.jobs[&job].spec.steps.get(usize::from(step)) else {
                     continue;
@@ -76,13 +76,12 @@
     }
 
     fn ranked_jobs(&self, context: &StepContext, config: &FleetConfig) -> Vec<(PlaceRank, JobId)> {
-        let is_past_clear = self.is_past_clear(context.clock.now);
         let mut ranked = Vec::new();
         for (name, job) in &self.jobs {
-            if job.ready.is_empty() || (job.is_inherited && !is_past_clear) {
+            if job.ready.is_empty() || job.is_inherited {
                 continue;
             }
-            let queue = job.queue.as_ref().and_then(|queue| config.queue(queue));
+            let queue = config.queue(&job.queue);
             // A queue that is gone still owes its accepted jobs' work, as long as
             // another queue leads to the pool.
             if queue.is_none() && !config.queues.iter().any(|known| known.pool == self.pool) {
@@ -206,7 +205,7 @@
             takes.processor,
             takes.memory,
             minion.free().processor,
-            context.clock.wall_ms.saturating_sub(job.spec.accepted_ms),
+            context.clock.wall_ms.saturating_sub(job.accepted_ms),
             context.shared.config.as_ref().map_or(0, |config| config.version),
         );
         context.out.log("start", &task, inputs, id.to_string());
@@ -214,6 +213,7 @@
             (task.clone(), run),
             MinionRun {
                 phase: RunPhase::Starting { until_clock },
+                team: group.team.clone(),
                 takes,
                 percent: 0,
                 gauge: None,
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -89,7 +89,7 @@
         let dirty: Vec<JobId> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.is_dirty() && job.queue.is_some())
+            .filter(|(_, job)| job.is_dirty())
             .map(|(name, _)| name.clone())
             .collect();
         if dirty.is_empty() && !self.save.is_roster_dirty && !self.save.has_ends {
@@ -151,10 +151,9 @@
             is_removed,
         };
         commit.expect.push((outcome_key.clone(), job.outcome_revision));
-        if saved.has_phase
-            && let Some(queue) = job.queue.clone()
-        {
-            let value = PutValue::Own(encode(&JobOutcome { phase: job.phase, queue }));
+        if saved.has_phase {
+            let outcome = JobOutcome { phase: job.phase, queue: job.queue.clone() };
+            let value = PutValue::Own(encode(&outcome));
             commit.puts.push(StorePut { key: outcome_key, value, lease: None });
         }
         if saved.has_progress {
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -48,6 +48,8 @@
 pub(crate) const COMMIT_ROWS: usize = 32;
 /// Least time between two changes of a pool's parts.
 pub(crate) const PARTS_GAP: Millis = Millis(40);
+/// Time after which minions of an earlier owner that never showed are forgotten.
+pub(crate) const ROSTER_KEPT: Millis = Millis(60_000);
 /// Time between two readings of the list of VMs while a wave is open.
 pub(crate) const CLOUD_PERIOD: Millis = Millis(300);
 /// Error of a minion's clock, in parts of a thousand, with some room.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -1,6 +1,6 @@
 //! The model of a job: a graph of steps, each of many like tasks.
 //!
-//! A job is handed in as a [`JobSpec`]. Its steps form a graph without cycles: a
+//! A job is handed in as a [`JobSpec`] and kept as an [`AcceptedJob`]. Its steps form a graph without cycles: a
 //! step refers to earlier steps only, so the order of the list is a topological
 //! order and no search is needed to check it. The steps run once, or as often as
 //! the [`Timetable`] says; each time is an occurrence.
@@ -19,5 +19,5 @@
 pub use outcome::{JobOutcome, JobPhase};
 pub use progress::{JobProgress, TaskMark};
 pub use resources::Resources;
-pub use spec::{GraphFault, JobSpec, StepSpec, Timetable};
+pub use spec::{AcceptedJob, GraphFault, JobSpec, StepSpec, Timetable};
 pub use task::{NameFault, RunNumber, TaskName};
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use state::{Millis, TeamId};
+use state::{Millis, QueueId, TeamId};
 
 use crate::Resources;
 
@@ -63,19 +63,28 @@
     pub may_miss: u32,
 }
 
-/// A whole job.
+/// A job as its submitter hands it in.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
-    /// The team whose key the job came with; none on queues open to all.
-    pub team: Option<TeamId>,
     /// Opaque text that each task is started with.
     pub payload: Box<str>,
     /// The steps; each refers to earlier ones only.
     pub steps: Vec<StepSpec>,
     /// When the steps run more than once.
     pub timetable: Option<Timetable>,
-    /// When the job was accepted, in milliseconds since 1970.
+}
+
+/// A job as it was accepted; it never changes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptedJob {
+    /// Where it was handed in.
+    pub queue: QueueId,
+    /// The team whose key it came with; none on queues open to all.
+    pub team: Option<TeamId>,
+    /// When it was accepted, in milliseconds since 1970.
     pub accepted_ms: u64,
+    /// What was handed in.
+    pub spec: JobSpec,
 }
 
 /// Says what is wrong with a job's graph.
