--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -6,7 +6,9 @@
 
 use crate::event::{Clock, Effect, Event};
 use crate::intake::Intake;
+use crate::key::DutyKey;
 use crate::model::FleetSettings;
+use crate::mover::VmMover;
 use crate::outbox::{CallPurpose, Outbox};
 use crate::pool::{PoolOwner, StepContext};
 use crate::registry::Registry;
@@ -23,8 +25,9 @@
     intake: Intake,
     registry: Registry,
     pools: BTreeMap<PoolId, PoolOwner>,
-    /// Pools that this daemon gave up while their record still named it.
-    given_up: BTreeMap<PoolId, Revision>,
+    mover: Option<VmMover>,
+    /// Duties that this daemon gave up while their record still named it.
+    given_up: BTreeMap<DutyKey, Revision>,
     out: Outbox,
     stopping_since: Option<Moment>,
     is_stopped: bool,
@@ -41,6 +44,7 @@
             intake: Intake::default(),
             registry: Registry::default(),
             pools: BTreeMap::new(),
+            mover: None,
             given_up: BTreeMap::new(),
             out: Outbox::default(),
             stopping_since: None,
@@ -71,15 +75,16 @@
                 }
             }
             Event::Cloud(call, answer) => {
-                if let Some((CallPurpose::Pool(pool, call), _)) = self.out.close(call) {
-                    self.with_pool(clock, &pool, |owner, context| {
-                        owner.on_cloud(context, call, answer);
+                if let Some((CallPurpose::Mover(call), _)) = self.out.close(call) {
+                    self.with_mover(clock, |mover, context| {
+                        mover.on_cloud(context, call, answer);
                     });
                 }
             }
             Event::Stop => {
                 self.stopping_since = Some(clock.now);
                 self.pools.clear();
+                self.mover = None;
                 self.session.close(clock, &mut self.out);
             }
         }
@@ -89,12 +94,14 @@
 
     fn tick(&mut self, clock: Clock) {
         self.shared.on_tick(clock, &mut self.out);
-        self.session.on_tick(clock, &mut self.out, &self.shared, self.pools.len());
+        let owned = self.pools.len() + usize::from(self.mover.is_some());
+        self.session.on_tick(clock, &mut self.out, &self.shared, owned);
         if !self.pools.is_empty() {
             self.registry.on_tick(clock, &mut self.out);
         }
         self.intake.on_tick(clock, &mut self.out, &self.shared);
         self.each_pool(clock, |owner, context| owner.on_tick(context));
+        self.with_mover(clock, |mover, context| mover.go_on(context));
         self.drop_lost(clock);
         self.follow_owners(clock);
         self.release_given_up(clock);
@@ -107,8 +114,8 @@
         self.given_up
             .retain(|pool, token| owners.get(pool).is_some_and(|owner| owner.created == *token));
         if self.session.is_valid(clock.now) {
-            for (pool, token) in &self.given_up {
-                self.session.release(clock, &mut self.out, pool, *token);
+            for (duty, token) in &self.given_up {
+                self.session.release(clock, &mut self.out, duty, *token);
             }
         }
     }
@@ -127,13 +134,16 @@
             }
             CallPurpose::Session(call) => {
                 let taken = self.session.on_answer(clock, &mut self.out, call, sent, answer);
-                if let Some((pool, token)) = taken {
-                    self.own(clock, pool, token);
+                if let Some((duty, token)) = taken {
+                    self.own(clock, duty, token);
                 }
             }
             CallPurpose::Intake(call) => {
                 self.intake.on_answer(clock, &mut self.out, &self.shared, call, answer);
             }
+            CallPurpose::Mover(call) => {
+                self.with_mover(clock, |mover, context| mover.on_store(context, call, answer));
+            }
             CallPurpose::Registry => {
                 if self.registry.on_answer(clock, &mut self.out, answer) {
                     self.each_pool(clock, |owner, context| owner.on_registry(context));
@@ -156,6 +166,7 @@
             self.with_pool(clock, pool, |owner, context| owner.on_outcome(context, job));
         }
         self.each_pool(clock, |owner, context| owner.on_shared(context));
+        self.with_mover(clock, |mover, context| mover.go_on(context));
     }
 
     /// Takes over what a commit without an answer gave this daemon, and gives up
@@ -165,25 +176,47 @@
             return;
         }
         let mut found = Vec::new();
-        for (pool, owner) in &self.shared.owners {
+        for (duty, owner) in &self.shared.owners {
             let is_mine = self.session.is_mine(&owner.record);
-            match self.pools.get_mut(pool) {
-                None if is_mine && !self.given_up.contains_key(pool) => {
-                    found.push((pool.clone(), owner.created))
+            let had = match duty {
+                DutyKey::Pool(pool) => self.pools.get(pool).map(PoolOwner::token),
+                DutyKey::Mover => self.mover.as_ref().map(VmMover::token),
+            };
+            match had {
+                None if is_mine && !self.given_up.contains_key(duty) => {
+                    found.push((duty.clone(), owner.created));
                 }
-                Some(known) if owner.created > known.token() && !is_mine => known.is_lost = true,
+                Some(token) if owner.created > token && !is_mine => match duty {
+                    DutyKey::Pool(pool) => {
+                        self.pools.remove(pool);
+                    }
+                    DutyKey::Mover => self.mover = None,
+                },
                 _ => {}
             }
         }
-        for (pool, token) in found {
+        for (duty, token) in found {
             if self.session.is_valid(clock.now) {
-                self.own(clock, pool, token);
+                self.own(clock, duty, token);
             }
         }
     }
 
-    fn own(&mut self, clock: Clock, pool: PoolId, token: Revision) {
-        if self.stopping_since.is_some() || self.pools.contains_key(&pool) {
+    fn own(&mut self, clock: Clock, duty: DutyKey, token: Revision) {
+        if self.stopping_since.is_some() {
+            return;
+        }
+        let pool = match duty {
+            DutyKey::Pool(pool) => pool,
+            DutyKey::Mover => {
+                if self.mover.is_none() {
+                    self.out.log("duty", "mover", format!("token {token}"), "taken");
+                    self.mover = Some(VmMover::new(token, clock.now));
+                }
+                return;
+            }
+        };
+        if self.pools.contains_key(&pool) {
             return;
         }
         let mut context = StepContext {
@@ -210,7 +243,13 @@
             let inputs = format!("session valid: {is_valid}");
             self.out.log("pool", &pool, inputs, "given up");
             self.pools.remove(&pool);
-            self.given_up.insert(pool, token);
+            self.given_up.insert(DutyKey::Pool(pool), token);
+        }
+        let lost_mover = self.mover.take_if(|mover| mover.is_lost || !is_valid);
+        if let Some(mover) = lost_mover {
+            let inputs = format!("session valid: {is_valid}");
+            self.out.log("duty", "mover", inputs, "given up");
+            self.given_up.insert(DutyKey::Mover, mover.token());
         }
     }
 
@@ -241,6 +280,19 @@
         act(owner, &mut context);
     }
 
+    fn with_mover(&mut self, clock: Clock, act: impl FnOnce(&mut VmMover, &mut StepContext)) {
+        let Some(mover) = self.mover.as_mut() else { return };
+        let mut context = StepContext {
+            clock,
+            out: &mut self.out,
+            shared: &self.shared,
+            registry: &self.registry,
+            settings: &self.settings,
+            is_valid: self.session.is_valid(clock.now),
+        };
+        act(mover, &mut context);
+    }
+
     fn each_pool(&mut self, clock: Clock, act: impl Fn(&mut PoolOwner, &mut StepContext)) {
         let names: Vec<PoolId> = self.pools.keys().cloned().collect();
         for pool in names {
--- a/crates/fleet/src/key.rs
+++ b/crates/fleet/src/key.rs
@@ -8,15 +8,35 @@
 
 use state::{DataCentreId, JobId, MinionId, PoolId};
 
+/// Work that one daemon at a time does.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum DutyKey {
+    /// Gives orders for VMs: moves and upkeep.
+    Mover,
+    /// Gives orders to a pool's minions.
+    Pool(PoolId),
+}
+
+impl fmt::Display for DutyKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Mover => f.write_str("mover"),
+            Self::Pool(pool) => write!(f, "pool/{pool}"),
+        }
+    }
+}
+
 /// A key that pollenfall itself writes.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum OwnKey {
-    /// Who owns a pool; lives as long as the owner's lease.
-    Owner(PoolId),
+    /// Who has a duty; lives as long as the owner's lease.
+    Owner(DutyKey),
     /// What submitters are told of a job.
     Outcome(PoolId, JobId),
     /// The teams' limits, split among pools.
     Parts,
+    /// The VMs that a pool wants, and those that it can spare.
+    Need(PoolId),
     /// How far a wave has come.
     Wave(u64),
     /// A job's specification.
@@ -30,9 +50,10 @@
 impl fmt::Display for OwnKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Owner(pool) => write!(f, "owner/{pool}"),
+            Self::Owner(duty) => write!(f, "owner/{duty}"),
             Self::Outcome(pool, job) => write!(f, "outcome/{pool}/{job}"),
             Self::Parts => write!(f, "oparts"),
+            Self::Need(pool) => write!(f, "oneed/{pool}"),
             Self::Wave(wave) => write!(f, "owave/{wave}"),
             Self::Job(pool, job) => write!(f, "job/{pool}/{job}"),
             Self::Progress(pool, job) => write!(f, "progress/{pool}/{job}"),
@@ -47,9 +68,11 @@
     fn from_str(text: &str) -> Result<Self, ()> {
         let parts: Vec<&str> = text.split('/').collect();
         let parse = || match parts.as_slice() {
-            ["owner", pool] => Some(Self::Owner(pool.parse().ok()?)),
+            ["owner", "mover"] => Some(Self::Owner(DutyKey::Mover)),
+            ["owner", "pool", pool] => Some(Self::Owner(DutyKey::Pool(pool.parse().ok()?))),
             ["outcome", pool, job] => Some(Self::Outcome(pool.parse().ok()?, job.parse().ok()?)),
             ["oparts"] => Some(Self::Parts),
+            ["oneed", pool] => Some(Self::Need(pool.parse().ok()?)),
             ["owave", wave] => Some(Self::Wave(wave.parse().ok()?)),
             ["job", pool, job] => Some(Self::Job(pool.parse().ok()?, job.parse().ok()?)),
             ["progress", pool, job] => Some(Self::Progress(pool.parse().ok()?, job.parse().ok()?)),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,11 +12,12 @@
 //! - `intake` accepts, cancels and answers for jobs, at any daemon;
 //! - `registry` lists the minions;
 //! - `pool` places and starts the tasks of a pool that this daemon owns, takes note
-//!   of their ends and keeps its VMs' upkeep.
+//!   of their ends, and empties VMs;
+//! - `mover` gives all orders for VMs, if this daemon has that duty.
 //!
 //! What lasts is in the platform's store, what runs is read back from the minions
-//! (`docs/PLATFORM.md`, "Truths"). A pool's owner is the holder of the record
-//! `owner/POOL`, which lives as long as its daemon's lease; the revision of that
+//! (`docs/PLATFORM.md`, "Truths"). A duty's owner is the holder of its record
+//! `owner/DUTY`, which lives as long as its daemon's lease; the revision of that
 //! record's creation fences each order to a minion and each write to the store.
 
 mod core;
@@ -25,6 +26,7 @@
 pub mod io;
 mod key;
 pub mod model;
+mod mover;
 mod outbox;
 mod pool;
 mod records;
@@ -37,6 +39,6 @@
 pub use event::{
     CallId, ClientAction, ClientAnswer, ClientCall, Clock, Effect, Event, RequestToken,
 };
-pub use key::{KeyScope, OwnKey, StoreKey};
+pub use key::{DutyKey, KeyScope, OwnKey, StoreKey};
 pub use outbox::DecisionLine;
-pub use records::{OwnerRecord, PartsDoc, PoolRoster, WaveDoc};
+pub use records::{OwnerRecord, PartsDoc, PoolNeed, PoolRoster, WaveDoc};
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -116,6 +116,8 @@
     pub minion: MinionId,
     /// When this life of it began, in milliseconds since 1970.
     pub born: u64,
+    /// The VM that it is a life of; a platform that moves no VMs names none.
+    pub vm: Option<VmId>,
     /// Its pool.
     pub pool: PoolId,
     /// Where it takes orders.
--- a/crates/fleet/src/outbox.rs
+++ b/crates/fleet/src/outbox.rs
@@ -8,6 +8,7 @@
 use crate::event::{CallId, ClientAnswer, Clock, Effect, RequestToken};
 use crate::intake::IntakeCall;
 use crate::io::{CloudCall, MinionCall, MinionTarget, StoreCall};
+use crate::mover::MoverCall;
 use crate::pool::PoolCall;
 use crate::session::SessionCall;
 use crate::shared::SharedCall;
@@ -32,6 +33,7 @@
     Session(SessionCall),
     Intake(IntakeCall),
     Registry,
+    Mover(MoverCall),
     Pool(PoolId, PoolCall),
 }
 
--- a/crates/fleet/src/pool/limits.rs
+++ b/crates/fleet/src/pool/limits.rs
@@ -167,7 +167,7 @@
         }
         self.limits.is_writing = true;
         let key = StoreKey::Own(OwnKey::Parts);
-        let owner = StoreKey::Own(OwnKey::Owner(self.pool.clone()));
+        let owner = self.owner_key();
         let commit = StoreCommit {
             expect: vec![(owner, self.token), (key.clone(), revision)],
             puts: vec![StorePut { key, value: PutValue::Own(encode(&next)), lease: None }],
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -8,7 +8,7 @@
 use super::job::OwnedJob;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
-use crate::key::{KeyScope, OwnKey, StoreKey};
+use crate::key::{DutyKey, KeyScope, OwnKey, StoreKey};
 use crate::records::{PoolRoster, RosterRow, decode};
 use crate::timing::{CLOCK_ERROR_PERMILLE, READ_RETRY, ROSTER_KEPT, RUN_LEASE, WATCH_WAIT};
 
@@ -56,7 +56,7 @@
     /// Reads the jobs once the shared records are as new as this owner: they then
     /// have every cancellation that came before it.
     pub(super) fn load_jobs(&mut self, context: &mut StepContext) {
-        let owner = context.shared.owners.get(&self.pool);
+        let owner = context.shared.owners.get(&DutyKey::Pool(self.pool.clone()));
         let is_followed = owner.is_some_and(|owner| owner.created >= self.token);
         if self.stage.has_progress && !self.stage.is_reading_jobs && is_followed {
             self.stage.is_reading_jobs = true;
@@ -141,6 +141,7 @@
     fn finish_load(&mut self, context: &mut StepContext) {
         if !self.stage.has_jobs {
             self.stage.has_jobs = true;
+            self.adopt_need(context);
             let inputs = format!(
                 "{} jobs, {} minions of the roster, {} after taking",
                 self.jobs.len(),
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod load;
 mod minion;
+mod need;
 mod orders;
 mod pace;
 mod place;
@@ -24,10 +25,11 @@
 use std::collections::BTreeMap;
 
 use jobs::{RunNumber, TaskName};
-use state::{JobId, MinionId, Moment, PoolId, Revision, VmId};
+use state::{JobId, MinionId, Moment, PoolId, Revision};
 
 use crate::event::Clock;
-use crate::io::{CloudAnswer, MinionAnswer, StoreAnswer};
+use crate::io::{MinionAnswer, StoreAnswer};
+use crate::key::{DutyKey, OwnKey, StoreKey};
 use crate::model::FleetSettings;
 use crate::outbox::{CallPurpose, Outbox};
 use crate::registry::Registry;
@@ -37,6 +39,7 @@
 use limits::LimitShare;
 use load::LoadStage;
 use minion::OwnedMinion;
+use need::NeedState;
 use save::SaveState;
 use upkeep::UpkeepState;
 
@@ -53,9 +56,8 @@
     Start { minion: MinionId, born: u64, task: TaskName, run: RunNumber },
     Stop,
     Pace { minion: MinionId, task: TaskName, run: RunNumber, percent: u8 },
-    ListVms,
     WaveCommit,
-    Upkeep { vm: VmId, wave: u64 },
+    Need,
 }
 
 /// What a step may use besides the pool's own state.
@@ -81,6 +83,7 @@
     save: SaveState,
     limits: LimitShare,
     upkeep: UpkeepState,
+    need: NeedState,
     /// Somebody else owns the pool.
     pub(crate) is_lost: bool,
 }
@@ -99,6 +102,7 @@
             save: SaveState::default(),
             limits: LimitShare::default(),
             upkeep: UpkeepState::default(),
+            need: NeedState::default(),
             is_lost: false,
         };
         owner.load(context);
@@ -109,6 +113,11 @@
         self.token
     }
 
+    /// Each write expects this owner's record.
+    fn owner_key(&self) -> StoreKey {
+        StoreKey::Own(OwnKey::Owner(DutyKey::Pool(self.pool.clone())))
+    }
+
     fn purpose(&self, call: PoolCall) -> CallPurpose {
         CallPurpose::Pool(self.pool.clone(), call)
     }
@@ -123,6 +132,7 @@
             PoolCall::Save => self.on_saved(context, answer),
             PoolCall::Parts => self.on_parts_written(context, answer),
             PoolCall::WaveCommit => self.on_wave_written(context, answer),
+            PoolCall::Need => self.on_need_written(context, answer),
             loading => self.on_loaded(context, loading, answer),
         }
         self.go_on(context);
@@ -149,16 +159,6 @@
         self.go_on(context);
     }
 
-    pub(crate) fn on_cloud(
-        &mut self,
-        context: &mut StepContext,
-        call: PoolCall,
-        answer: CloudAnswer,
-    ) {
-        self.on_cloud_answer(context, call, answer);
-        self.go_on(context);
-    }
-
     /// An outcome in the shared records has changed.
     pub(crate) fn on_outcome(&mut self, context: &mut StepContext, job: &JobId) {
         let key = (self.pool.clone(), job.clone());
@@ -185,6 +185,7 @@
         self.check_leases(context);
         self.resend_stops(context);
         self.keep_upkeep(context);
+        self.keep_need(context);
         self.go_on(context);
     }
 
--- /dev/null
+++ b/crates/fleet/src/pool/need.rs
@@ -0,0 +1,230 @@
+//! How many VMs the pool wants, and which it can spare.
+//!
+//! The pool's work that is not done, by the submitters' estimates, must be done
+//! within about the objective of its jobs; that takes so many cores. A pool with
+//! fewer wants VMs; one with many more empties VMs on which no lasting task runs
+//! and offers them. A VM that was offered is used again only some time after the
+//! offer was withdrawn, because an order may be on its way.
+
+use std::collections::BTreeSet;
+
+use jobs::TaskMark;
+use state::{MinionId, Moment, Revision, VmId};
+
+use super::job::OwnedJob;
+use super::{PoolCall, PoolOwner, StepContext};
+use crate::io::{PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
+use crate::key::{OwnKey, StoreKey};
+use crate::mover::open_waves;
+use crate::records::{PoolNeed, encode};
+use crate::timing::{COMMIT_RETRY, NEED_GAP, SPARED_GRACE};
+
+/// Time in which work that waits should be done, in milliseconds.
+const WORK_SPAN_MS: u64 = 1_500;
+/// Most VMs that a pool wants besides its own.
+const MOST_WANTED: u64 = 24;
+/// A pool keeps this many times the cores that its work needs, in percent.
+const KEPT_PERCENT: u64 = 150;
+/// VMs that a pool always keeps besides those with lasting tasks.
+const KEPT_VMS: usize = 1;
+
+/// What was last told to the mover.
+#[derive(Debug, Default)]
+pub(super) struct NeedState {
+    told: PoolNeed,
+    revision: Revision,
+    is_writing: bool,
+    next_at: Moment,
+    /// VMs that are being emptied to be spared.
+    leaving: BTreeSet<VmId>,
+}
+
+impl PoolOwner {
+    pub(super) fn keep_need(&mut self, context: &mut StepContext) {
+        let has_spare = context
+            .shared
+            .config
+            .as_ref()
+            .is_some_and(|config| config.pools.values().any(|pool| pool.is_spare));
+        if !context.is_valid || !self.stage.is_loaded() || !has_spare {
+            return;
+        }
+        let now = context.clock.now;
+        if self.need.is_writing || now < self.need.next_at {
+            return;
+        }
+        let (wanted, keeps) = self.wanted_and_kept(context);
+        self.choose_leaving(context, wanted, keeps);
+        let spared: BTreeSet<VmId> = self
+            .need
+            .leaving
+            .iter()
+            .filter(|vm| self.minion_of_vm(vm).is_some_and(|minion| minion.runs.is_empty()))
+            .cloned()
+            .collect();
+        let next = PoolNeed { wanted, spared };
+        let is_first = self.need.revision.0 == 0 && next == PoolNeed::default();
+        if next != self.need.told && !is_first {
+            self.write_need(context, next);
+        }
+    }
+
+    /// Takes over what an earlier owner has offered: orders may be on their way.
+    pub(super) fn adopt_need(&mut self, context: &StepContext) {
+        if let Some(need) = context.shared.needs.get(&self.pool) {
+            self.need.leaving = need.record.spared.clone();
+            self.need.told = need.record.clone();
+            self.need.revision = need.revision;
+        }
+    }
+
+    /// Whether a VM is being emptied to be spared.
+    pub(super) fn is_leaving(&self, vm: Option<&VmId>) -> bool {
+        vm.is_some_and(|vm| self.need.leaving.contains(vm))
+    }
+
+    /// VMs that are wanted besides those that there are, and how many are kept.
+    fn wanted_and_kept(&self, context: &StepContext) -> (u32, usize) {
+        let usable = self.minions.values().filter(|minion| {
+            minion.is_listed
+                && !minion.is_vacating
+                && !minion.report.is_draining
+                && !context.shared.evacuated.contains(&minion.report.data_centre)
+        });
+        let mut room = 0;
+        let mut count = 0;
+        let mut lasting = 0;
+        for minion in usable {
+            room += minion.report.room.processor.0;
+            count += 1;
+            lasting += self.lasting_cores(&minion.report.minion);
+        }
+        let of_vm = room / u64::max(count, 1);
+        if of_vm == 0 {
+            return (0, self.minions.len());
+        }
+        let work: u64 = self.jobs.values().map(open_work).sum();
+        let needed = work / WORK_SPAN_MS + lasting;
+        let wanted = needed.saturating_sub(room).div_ceil(of_vm).min(MOST_WANTED);
+        let kept = (needed * KEPT_PERCENT / 100).div_ceil(of_vm);
+        (wanted as u32, kept as usize + KEPT_VMS)
+    }
+
+    fn lasting_cores(&self, id: &MinionId) -> u64 {
+        let Some(minion) = self.minions.get(id) else { return 0 };
+        let runs = minion.runs.iter().filter(|((task, _), _)| self.is_lasting(task));
+        runs.map(|(_, run)| run.takes.processor.0).sum()
+    }
+
+    fn is_lasting(&self, task: &jobs::TaskName) -> bool {
+        self.jobs.get(&task.job).is_none_or(|job| job.spec.is_lasting())
+    }
+
+    /// Chooses the VMs that are emptied to be spared.
+    fn choose_leaving(&mut self, context: &StepContext, wanted: u32, keeps: usize) {
+        let now = context.clock.now;
+        let known: BTreeSet<VmId> =
+            self.minions.values().filter_map(|minion| minion.report.vm.clone()).collect();
+        self.need.leaving.retain(|vm| known.contains(vm));
+        let staying = self
+            .minions
+            .values()
+            .filter(|minion| minion.is_listed && !minion.is_vacating && !minion.report.is_draining);
+        let staying = staying.count();
+        if wanted > 0 {
+            return self.keep_all(now);
+        }
+        let in_wave: BTreeSet<VmId> =
+            open_waves(context).into_iter().flat_map(|order| order.vms).collect();
+        if staying > keeps
+            && let Some(id) = self.least_needed(&in_wave)
+            && let Some(minion) = self.minions.get_mut(&id)
+            && let Some(vm) = minion.report.vm.clone()
+        {
+            minion.is_vacating = true;
+            self.need.leaving.insert(vm);
+        }
+    }
+
+    /// The minion without lasting tasks that has least to do.
+    fn least_needed(&self, in_wave: &BTreeSet<VmId>) -> Option<MinionId> {
+        let may_leave = |minion: &&super::minion::OwnedMinion| {
+            minion.is_listed
+                && minion.is_fenced
+                && !minion.is_vacating
+                && !minion.report.is_draining
+                && minion.report.vm.as_ref().is_some_and(|vm| !in_wave.contains(vm))
+                && !minion.runs.keys().any(|(task, _)| self.is_lasting(task))
+        };
+        let leaving = self.minions.values().filter(may_leave);
+        let least = leaving.min_by_key(|minion| minion.used.processor.0);
+        least.map(|minion| minion.report.minion.clone())
+    }
+
+    /// Withdraws every offer.
+    fn keep_all(&mut self, now: Moment) {
+        let leaving = std::mem::take(&mut self.need.leaving);
+        for minion in self.minions.values_mut() {
+            if minion.report.vm.as_ref().is_some_and(|vm| leaving.contains(vm)) {
+                minion.is_vacating = false;
+                let was_offered =
+                    minion.report.vm.as_ref().is_some_and(|vm| self.need.told.spared.contains(vm));
+                if was_offered {
+                    minion.pause_until = now + SPARED_GRACE;
+                }
+            }
+        }
+    }
+
+    fn write_need(&mut self, context: &mut StepContext, next: PoolNeed) {
+        self.need.is_writing = true;
+        let key = StoreKey::Own(OwnKey::Need(self.pool.clone()));
+        let known = context.shared.needs.get(&self.pool).map(|need| need.revision);
+        let revision = known.unwrap_or(Revision(0)).max(self.need.revision);
+        let inputs = format!("{} minions, {} jobs", self.minions.len(), self.jobs.len());
+        let outcome = format!("wants {}, spares {}", next.wanted, next.spared.len());
+        context.out.log("need", &self.pool, inputs, outcome);
+        let commit = StoreCommit {
+            expect: vec![(self.owner_key(), self.token), (key.clone(), revision)],
+            puts: vec![StorePut { key, value: PutValue::Own(encode(&next)), lease: None }],
+            remove: Vec::new(),
+        };
+        self.need.told = next;
+        let purpose = self.purpose(PoolCall::Need);
+        context.out.store(context.clock, purpose, StoreCall::Commit(commit));
+    }
+
+    pub(super) fn on_need_written(&mut self, context: &mut StepContext, answer: StoreAnswer) {
+        self.need.is_writing = false;
+        self.need.next_at = context.clock.now + NEED_GAP;
+        match answer {
+            StoreAnswer::Committed(revision) => self.need.revision = revision,
+            other => {
+                // Nobody knows what was told: it is told again.
+                self.need.told =
+                    PoolNeed { wanted: u32::MAX, spared: self.need.told.spared.clone() };
+                self.need.next_at = context.clock.now + COMMIT_RETRY;
+                if !matches!(other, StoreAnswer::Conflict(_)) {
+                    context.out.log("need", &self.pool, format!("{other:?}"), "again");
+                }
+            }
+        }
+    }
+}
+
+/// Work of a job that is not done, by its estimates, in thousandths of a core times
+/// milliseconds; steps whose turn has not come count half, because they come later.
+fn open_work(job: &OwnedJob) -> u64 {
+    if job.phase.is_final() || job.spec.is_lasting() || job.spec.timetable.is_some() {
+        return 0;
+    }
+    let mut work = 0;
+    for (number, step) in job.spec.steps.iter().enumerate() {
+        let number = number as u16;
+        let is_open = |index: &u32| job.progress.mark(0, number, *index) != TaskMark::Done;
+        let open = (0..step.tasks).filter(is_open).count() as u64;
+        let of_step = open * step.needs.processor.0 * step.estimate.0;
+        work += if job.ready.contains_key(&(0, number)) { of_step } else { of_step / 2 };
+    }
+    work
+}
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -56,7 +56,8 @@
                         row.filter(|row| row.born == report.born).map_or(0, |row| row.noted);
                     let inputs = format!("born {}, noted {noted}", report.born);
                     context.out.log("minion", &report.minion, inputs, "found");
-                    let minion = OwnedMinion::new(report.clone(), noted);
+                    let mut minion = OwnedMinion::new(report.clone(), noted);
+                    minion.is_vacating = self.is_leaving(report.vm.as_ref());
                     self.minions.insert(report.minion.clone(), minion);
                 }
             }
--- a/crates/fleet/src/pool/place.rs
+++ b/crates/fleet/src/pool/place.rs
@@ -3,7 +3,8 @@
 //! Jobs are looked at in the order of [`PlaceRank`]: lasting ones, then those that
 //! can still meet their objective, then the others; within these by the queue's
 //! priority and the objective. A task goes to the minion with most free processor
-//! time, near its data first, which leaves each minion's tasks the most to share.
+//! time, near its data first, which leaves each minion's tasks the most to share;
+//! lasting tasks are gathered on few minions.
 
 use std::collections::BTreeMap;
 
@@ -11,13 +12,16 @@
 use state::{JobId, MinionId, TeamId};
 
 use super::job::{LiveRun, TaskPlace, task_name};
-use super::minion::{MinionRun, OwnedMinion, RunPhase};
+use super::minion::{MinionRun, OwnedMinion, RunKey, RunPhase};
 use super::orders::target_of;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::MinionCall;
 use crate::model::{FleetConfig, QueueConfig};
 use crate::timing::START_VALID;
 
+/// Lasting tasks that are gathered on one minion.
+const MOST_LASTING: usize = 4;
+
 /// What a task of a step takes of a minion's room: a filler uses only processor
 /// time that is left.
 pub(super) fn takes_of(step: &StepSpec) -> Resources {
@@ -153,7 +157,7 @@
         planned: &BTreeMap<MinionId, (Resources, u32)>,
     ) -> Option<MinionId> {
         let now = context.clock.now;
-        let mut best: Option<(bool, u64, &MinionId)> = None;
+        let mut best: Option<((bool, usize, u64), &MinionId)> = None;
         for (id, minion) in &self.minions {
             let (reserved, planned_tasks) = planned.get(id).copied().unwrap_or_default();
             let free = minion.free().minus(&reserved);
@@ -167,12 +171,22 @@
             }
             let is_near =
                 group.spec.near.is_some() && has_label(minion, group.spec.near.as_deref());
-            let score = (is_near, free.processor.0, id);
-            if best.is_none_or(|best| (score.0, score.1) > (best.0, best.1)) {
+            let lasting = if group.spec.lasting { self.lasting_runs(minion) } else { 0 };
+            let score = ((is_near, lasting, free.processor.0), id);
+            if best.is_none_or(|best| score.0 > best.0) {
                 best = Some(score);
             }
         }
-        best.map(|(_, _, id)| id.clone())
+        best.map(|(_, id)| id.clone())
+    }
+
+    /// Lasting tasks share few minions, so that the others can be spared; a minion
+    /// with many of them counts like one without.
+    fn lasting_runs(&self, minion: &OwnedMinion) -> usize {
+        let is_lasting =
+            |key: &&RunKey| self.jobs.get(&key.0.job).is_some_and(|job| job.spec.is_lasting());
+        let count = minion.runs.keys().filter(is_lasting).count();
+        if count < MOST_LASTING { count } else { 0 }
     }
 
     fn is_apart(&self, group: &TaskGroup, minion: &MinionId, planned: u32) -> bool {
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -97,7 +97,7 @@
         }
         let mut commit = StoreCommit::default();
         let mut flight = SaveFlight { jobs: BTreeMap::new(), roster: None };
-        commit.expect.push((self.own(OwnKey::Owner), self.token));
+        commit.expect.push((self.owner_key(), self.token));
         let mut has_all = true;
         for job in dirty {
             if commit.rows() + JOB_ROWS + FRAME_ROWS > COMMIT_ROWS {
@@ -229,7 +229,7 @@
     }
 
     fn take_conflict(&mut self, context: &mut StepContext, items: Vec<StoreItem>) {
-        let owner_key = self.own(OwnKey::Owner);
+        let owner_key = self.owner_key();
         let is_owned =
             items.iter().any(|item| item.key == owner_key && item.revision == self.token);
         if !is_owned {
--- a/crates/fleet/src/pool/upkeep.rs
+++ b/crates/fleet/src/pool/upkeep.rs
@@ -1,44 +1,30 @@
-//! Upkeep of the pool's VMs.
+//! Empties VMs: for their upkeep, and when they leave.
 //!
 //! One record a wave says which VMs are down and which are done, so the bound of
 //! VMs that are down at one time holds by compare-and-swap whoever owns the pools.
 //! A VM is first emptied: it gets no starts, tasks that save are stopped and go on
 //! elsewhere, lasting ones move one at a time within what their step may miss, and
-//! the others run to their end. Then its mark is set, and then the order is given.
-//! An owner that finds a mark without knowing what came of the order gives it again:
-//! the cloud does it once.
-
-use std::collections::BTreeSet;
+//! the others run to their end. Then its mark is set, and the mover gives the order.
 
 use jobs::TaskName;
 use state::{MinionId, Moment, Revision, VmId};
 
 use super::job::place_of;
-use super::minion::{RunKey, RunPhase};
+use super::minion::{OwnedMinion, RunKey, RunPhase};
 use super::{PoolCall, PoolOwner, StepContext};
-use crate::io::{CloudAnswer, CloudCall, PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
-use crate::key::{OwnKey, StoreKey};
-use crate::model::{VmPhase, VmReport, WaveOrder, WavePhase};
-use crate::records::{WaveDoc, WaveMark, encode};
-use crate::timing::{CLOUD_PERIOD, COMMIT_RETRY};
+use crate::io::{StoreAnswer, StoreCall};
+use crate::model::WaveOrder;
+use crate::mover::{doc_of, open_waves, wave_commit};
+use crate::records::{WaveDoc, WaveMark};
+use crate::timing::COMMIT_RETRY;
 
-/// What the owner knows of its VMs and of the orders that it gave.
+/// The VM that is being emptied, and the record's last change.
 #[derive(Debug, Default)]
 pub(super) struct UpkeepState {
-    vms: Vec<VmReport>,
-    listed_at: Option<Moment>,
-    list_sent: Moment,
-    is_listing: bool,
-    next_list: Moment,
     is_writing: bool,
     /// The shared record must have this revision before it is changed again.
     written: Revision,
     next_write: Moment,
-    /// Orders that are not answered.
-    ordered: BTreeSet<VmId>,
-    /// Orders that were carried out, with the time of the answer.
-    begun: std::collections::BTreeMap<VmId, Moment>,
-    next_order: Moment,
     vacating: Option<VmId>,
 }
 
@@ -48,126 +34,56 @@
             return;
         }
         self.leave_draining(context);
-        let open: Vec<WaveOrder> = context
-            .shared
-            .waves
-            .values()
-            .filter(|order| !is_complete(order, &doc_of(context, order.wave)))
-            .cloned()
-            .collect();
+        let open = open_waves(context);
         if open.is_empty() {
             self.stop_vacating();
             return;
         }
-        self.list_vms(context);
-        let since_taken = context.clock.now - self.taken_at;
-        if self.upkeep.listed_at.is_none() || since_taken < context.settings.holder_span {
-            return;
-        }
         for order in open {
             self.keep_wave(context, &order);
         }
     }
 
-    fn list_vms(&mut self, context: &mut StepContext) {
-        let now = context.clock.now;
-        if !self.upkeep.is_listing && now >= self.upkeep.next_list {
-            self.upkeep.is_listing = true;
-            self.upkeep.list_sent = now;
-            let purpose = self.purpose(PoolCall::ListVms);
-            context.out.cloud(context.clock, purpose, CloudCall::List);
-        }
-    }
-
     fn keep_wave(&mut self, context: &mut StepContext, order: &WaveOrder) {
-        let doc = doc_of(context, order.wave);
-        self.give_orders(context, order, &doc);
+        let revision = context.shared.wave_docs.get(&order.wave).map(|doc| doc.revision);
+        let revision = revision.unwrap_or(Revision(0));
         if self.upkeep.is_writing
             || context.clock.now < self.upkeep.next_write
-            || self.shared_revision(context, order.wave) < self.upkeep.written
+            || revision < self.upkeep.written
         {
             return;
         }
-        let mut next = doc.clone();
-        self.mark_done(&mut next, order);
-        let down = next.vms.values().filter(|mark| **mark == WaveMark::Down).count();
+        let doc = doc_of(context, order.wave);
+        let down = doc.vms.values().filter(|mark| **mark == WaveMark::Down).count();
         if down < order.most_down as usize
-            && let Some(vm) = self.emptied_vm(order, &next)
+            && let Some(vm) = self.emptied_vm(order, &doc)
         {
-            next.vms.insert(vm, WaveMark::Down);
-        }
-        if next != doc || self.shared_revision(context, order.wave).0 == 0 {
-            self.write_wave(context, order, next);
+            let mut next = doc.clone();
+            next.vms.insert(vm.clone(), WaveMark::Down);
+            self.upkeep.is_writing = true;
+            let inputs = format!("wave {}, {down} of {} down", order.wave, order.most_down);
+            context.out.log("upkeep", &vm, inputs, "emptied");
+            let commit = wave_commit(self.owner_key(), self.token, order, revision, &next);
+            let purpose = self.purpose(PoolCall::WaveCommit);
+            context.out.store(context.clock, purpose, StoreCall::Commit(commit));
         }
         self.empty_next(context, order, &doc);
     }
 
-    fn shared_revision(&self, context: &StepContext, wave: u64) -> Revision {
-        context.shared.wave_docs.get(&wave).map_or(Revision(0), |doc| doc.revision)
-    }
-
-    /// Marks VMs that are back, and those that are gone for good.
-    fn mark_done(&self, doc: &mut WaveDoc, order: &WaveOrder) {
-        let Some(listed_at) = self.upkeep.listed_at else { return };
-        for vm in &order.vms {
-            let mark = doc.vms.get(vm).copied();
-            if mark == Some(WaveMark::Done) {
-                continue;
-            }
-            let listed = self.upkeep.vms.iter().find(|known| known.vm == *vm);
-            let is_done = match listed {
-                None => true,
-                Some(known) => {
-                    let begun = self.upkeep.begun.get(vm);
-                    known.pool == self.pool
-                        && known.phase == VmPhase::Up
-                        && mark == Some(WaveMark::Down)
-                        && begun.is_some_and(|at| *at < listed_at)
-                }
-            };
-            if is_done {
-                doc.vms.insert(vm.clone(), WaveMark::Done);
-            }
-        }
-    }
-
-    fn own_vm(&self, vm: &VmId) -> Option<&VmReport> {
-        self.upkeep.vms.iter().find(|known| known.vm == *vm && known.pool == self.pool)
-    }
-
-    fn give_orders(&mut self, context: &mut StepContext, order: &WaveOrder, doc: &WaveDoc) {
-        if context.clock.now < self.upkeep.next_order {
-            return;
-        }
-        for (vm, mark) in &doc.vms {
-            let is_mine = self.own_vm(vm).is_some();
-            let is_open = *mark == WaveMark::Down
-                && !self.upkeep.ordered.contains(vm)
-                && !self.upkeep.begun.contains_key(vm);
-            if is_mine && is_open {
-                self.upkeep.ordered.insert(vm.clone());
-                let call =
-                    CloudCall::Upkeep { vm: vm.clone(), wave: order.wave, token: self.token.0 };
-                let inputs = format!("wave {}, token {}", order.wave, self.token);
-                context.out.log("upkeep", vm, inputs, "ordered");
-                let purpose = self.purpose(PoolCall::Upkeep { vm: vm.clone(), wave: order.wave });
-                context.out.cloud(context.clock, purpose, call);
-            }
-        }
+    /// The minion that a VM of this pool is at present.
+    pub(super) fn minion_of_vm(&self, vm: &VmId) -> Option<&OwnedMinion> {
+        let is_life =
+            |minion: &&OwnedMinion| minion.is_listed && minion.report.vm.as_ref() == Some(vm);
+        self.minions.values().find(is_life)
     }
 
     /// A VM of the wave on which nothing runs any more.
     fn emptied_vm(&self, order: &WaveOrder, doc: &WaveDoc) -> Option<VmId> {
         let is_empty = |vm: &&VmId| {
-            if doc.vms.contains_key(*vm) {
-                return false;
-            }
-            let Some(known) = self.own_vm(vm) else { return false };
-            if known.phase != VmPhase::Up {
-                return false;
-            }
-            let minion = known.minion.as_ref().and_then(|id| self.minions.get(id));
-            minion.is_none_or(|minion| minion.is_vacating && minion.runs.is_empty())
+            !doc.vms.contains_key(*vm)
+                && self
+                    .minion_of_vm(vm)
+                    .is_some_and(|minion| minion.is_vacating && minion.runs.is_empty())
         };
         order.vms.iter().find(is_empty).cloned()
     }
@@ -175,12 +91,13 @@
     /// Empties the VM with the least work.
     fn empty_next(&mut self, context: &mut StepContext, order: &WaveOrder, doc: &WaveDoc) {
         let still = self.upkeep.vacating.clone().filter(|vm| {
-            order.vms.contains(vm) && !doc.vms.contains_key(vm) && self.own_vm(vm).is_some()
+            order.vms.contains(vm) && !doc.vms.contains_key(vm) && self.minion_of_vm(vm).is_some()
         });
         let chosen = still.or_else(|| self.least_busy(order, doc));
         self.upkeep.vacating = chosen.clone();
         let Some(vm) = chosen else { return };
-        let Some(id) = self.own_vm(&vm).and_then(|known| known.minion.clone()) else { return };
+        let minion = self.minion_of_vm(&vm).map(|minion| minion.report.minion.clone());
+        let Some(id) = minion else { return };
         if let Some(minion) = self.minions.get_mut(&id)
             && !minion.is_vacating
         {
@@ -192,20 +109,16 @@
     }
 
     fn least_busy(&self, order: &WaveOrder, doc: &WaveDoc) -> Option<VmId> {
-        let load = |vm: &&VmId| {
-            let minion = self.own_vm(vm).and_then(|known| known.minion.as_ref());
-            minion.and_then(|id| self.minions.get(id)).map_or(0, |minion| minion.used.processor.0)
-        };
-        let waits = |vm: &&VmId| {
-            !doc.vms.contains_key(*vm)
-                && self.own_vm(vm).is_some_and(|known| known.phase == VmPhase::Up)
-        };
+        let load = |vm: &&VmId| self.minion_of_vm(vm).map_or(0, |minion| minion.used.processor.0);
+        let waits = |vm: &&VmId| !doc.vms.contains_key(*vm) && self.minion_of_vm(vm).is_some();
         order.vms.iter().filter(waits).min_by_key(load).cloned()
     }
 
     fn stop_vacating(&mut self) {
-        self.upkeep.vacating = None;
-        for minion in self.minions.values_mut() {
+        let Some(vm) = self.upkeep.vacating.take() else { return };
+        let minion =
+            self.minions.values_mut().find(|minion| minion.report.vm.as_ref() == Some(&vm));
+        if let Some(minion) = minion {
             minion.is_vacating = false;
         }
     }
@@ -225,7 +138,12 @@
 
     /// Stops what goes on elsewhere without loss; lasting tasks only within what
     /// their step may miss, if `keeps_bound`.
-    fn empty_minion(&mut self, context: &mut StepContext, id: &MinionId, keeps_bound: bool) {
+    pub(super) fn empty_minion(
+        &mut self,
+        context: &mut StepContext,
+        id: &MinionId,
+        keeps_bound: bool,
+    ) {
         let Some(minion) = self.minions.get(id) else { return };
         let running: Vec<RunKey> = minion
             .runs
@@ -272,30 +190,6 @@
             && run.is_some_and(|run| run.phase == RunPhase::Running && run.percent >= 100)
     }
 
-    fn write_wave(&mut self, context: &mut StepContext, order: &WaveOrder, next: WaveDoc) {
-        self.upkeep.is_writing = true;
-        let phase = if is_complete(order, &next) { WavePhase::Complete } else { WavePhase::Active };
-        let inputs = format!("{} of {} marked", next.vms.len(), order.vms.len());
-        context.out.log("wave", order.wave, inputs, format!("{phase:?}"));
-        let key = StoreKey::Own(OwnKey::Wave(order.wave));
-        let owner = StoreKey::Own(OwnKey::Owner(self.pool.clone()));
-        let revision = self.shared_revision(context, order.wave);
-        let record =
-            StorePut { key: key.clone(), value: PutValue::Own(encode(&next)), lease: None };
-        let status = StorePut {
-            key: StoreKey::WaveStatus(order.wave),
-            value: PutValue::Status(phase),
-            lease: None,
-        };
-        let commit = StoreCommit {
-            expect: vec![(owner, self.token), (key, revision)],
-            puts: vec![record, status],
-            remove: Vec::new(),
-        };
-        let purpose = self.purpose(PoolCall::WaveCommit);
-        context.out.store(context.clock, purpose, StoreCall::Commit(commit));
-    }
-
     pub(super) fn on_wave_written(&mut self, context: &mut StepContext, answer: StoreAnswer) {
         self.upkeep.is_writing = false;
         match answer {
@@ -307,46 +201,4 @@
             }
         }
     }
-
-    pub(super) fn on_cloud_answer(
-        &mut self,
-        context: &mut StepContext,
-        call: PoolCall,
-        answer: CloudAnswer,
-    ) {
-        let now = context.clock.now;
-        match (call, answer) {
-            (PoolCall::ListVms, CloudAnswer::Listed(vms)) => {
-                self.upkeep.is_listing = false;
-                self.upkeep.next_list = now + CLOUD_PERIOD;
-                self.upkeep.listed_at = Some(self.upkeep.list_sent);
-                self.upkeep.vms = vms;
-            }
-            (PoolCall::ListVms, other) => {
-                self.upkeep.is_listing = false;
-                self.upkeep.next_list = now + CLOUD_PERIOD;
-                context.out.log("cloud-list", &self.pool, format!("{other:?}"), "again");
-            }
-            (PoolCall::Upkeep { vm, wave }, answer) => {
-                self.upkeep.ordered.remove(&vm);
-                let inputs = format!("wave {wave}, token {}", self.token);
-                context.out.log("upkeep", &vm, inputs, format!("{answer:?}"));
-                match answer {
-                    CloudAnswer::Done | CloudAnswer::Refused(_) => {
-                        self.upkeep.begun.insert(vm, now);
-                    }
-                    _ => self.upkeep.next_order = now + CLOUD_PERIOD,
-                }
-            }
-            _ => {}
-        }
-    }
-}
-
-fn doc_of(context: &StepContext, wave: u64) -> WaveDoc {
-    context.shared.wave_docs.get(&wave).map(|doc| doc.record.clone()).unwrap_or_default()
-}
-
-fn is_complete(order: &WaveOrder, doc: &WaveDoc) -> bool {
-    order.vms.iter().all(|vm| doc.vms.get(vm) == Some(&WaveMark::Done))
 }
--- a/crates/fleet/src/records.rs
+++ b/crates/fleet/src/records.rs
@@ -1,6 +1,6 @@
 //! Records that pollenfall keeps in the store, as JSON texts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use jobs::Resources;
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use state::{DaemonId, Incarnation, MinionId, PoolId, TeamId, VmId};
 
-/// Who owns a pool.
+/// Who has a duty.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRecord {
     /// The daemon.
@@ -51,6 +51,15 @@
     pub teams: BTreeMap<TeamId, BTreeMap<PoolId, PoolPart>>,
 }
 
+/// What a pool asks of the mover.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PoolNeed {
+    /// VMs that it wants besides those that it has.
+    pub wanted: u32,
+    /// VMs that it has emptied and can spare.
+    pub spared: BTreeSet<VmId>,
+}
+
 /// How far a VM of a wave has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -1,21 +1,21 @@
-//! Keeps this daemon's lease, and takes pools that nobody owns.
+//! Keeps this daemon's lease, and takes duties that nobody has.
 //!
-//! A pool's owner is whoever created `owner/POOL` under its daemon's lease. The
+//! A duty's owner is whoever created `owner/DUTY` under its daemon's lease. The
 //! revision of the creation is the owner's token: unique, and larger than that of
-//! every owner before, also after all daemons have died. This daemon owns a pool
+//! every owner before, also after all daemons have died. This daemon has a duty
 //! only while its lease surely lasts by its own clock, counted from before the
 //! renewal was sent; it then gives no order and writes nothing.
 //!
-//! Who owns less takes sooner, so pools spread without a plan.
+//! Who owns less takes sooner, so duties spread without a plan.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use state::{DaemonId, Incarnation, Millis, Moment, PoolId, Revision};
+use state::{DaemonId, Incarnation, Millis, Moment, Revision};
 
 use crate::event::Clock;
 use crate::io::{LeaseId, PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
-use crate::key::{OwnKey, StoreKey};
+use crate::key::{DutyKey, OwnKey, StoreKey};
 use crate::outbox::{CallPurpose, Outbox};
 use crate::records::{OwnerRecord, encode};
 use crate::shared::SharedIndex;
@@ -27,8 +27,8 @@
     Open,
     Renew(LeaseId),
     Close,
-    Take(PoolId),
-    Release(PoolId),
+    Take(DutyKey),
+    Release(DutyKey),
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -37,7 +37,7 @@
     valid_until: Moment,
 }
 
-/// This daemon's lease and the pools that it is taking.
+/// This daemon's lease and the duties that it is taking.
 #[derive(Debug)]
 pub(crate) struct Session {
     daemon: DaemonId,
@@ -45,8 +45,8 @@
     lease: Option<Lease>,
     next_call: Moment,
     is_calling: bool,
-    takes: BTreeMap<PoolId, Moment>,
-    taking: BTreeSet<PoolId>,
+    takes: BTreeMap<DutyKey, Moment>,
+    taking: BTreeSet<DutyKey>,
     is_closing: bool,
     pub(crate) is_closed: bool,
 }
@@ -102,7 +102,7 @@
             self.keep(clock, out);
         }
         if self.is_valid(clock.now) && shared.is_loaded() {
-            self.take_free_pools(clock, out, shared, owned);
+            self.take_free_duties(clock, out, shared, owned);
         }
     }
 
@@ -115,7 +115,7 @@
         out.store(clock, CallPurpose::Session(call), request);
     }
 
-    fn take_free_pools(
+    fn take_free_duties(
         &mut self,
         clock: Clock,
         out: &mut Outbox,
@@ -123,33 +123,37 @@
         owned: usize,
     ) {
         let Some(config) = &shared.config else { return };
-        self.takes.retain(|pool, _| config.pools.contains_key(pool));
-        for pool in config.pools.keys() {
-            if shared.owners.contains_key(pool) || self.taking.contains(pool) {
-                self.takes.remove(pool);
+        // A spare pool's VMs are off: it has nobody to give orders to.
+        let pools = config.pools.iter().filter(|(_, pool)| !pool.is_spare);
+        let pools = pools.map(|(pool, _)| DutyKey::Pool(pool.clone()));
+        let duties: BTreeSet<DutyKey> = pools.chain([DutyKey::Mover]).collect();
+        self.takes.retain(|duty, _| duties.contains(duty));
+        for duty in duties {
+            if shared.owners.contains_key(&duty) || self.taking.contains(&duty) {
+                self.takes.remove(&duty);
                 continue;
             }
-            let wait = self.wait_before(pool, owned + self.taking.len());
-            let at = *self.takes.entry(pool.clone()).or_insert(clock.now + wait);
+            let wait = self.wait_before(&duty, owned + self.taking.len());
+            let at = *self.takes.entry(duty.clone()).or_insert(clock.now + wait);
             if clock.now >= at {
-                self.takes.remove(pool);
-                self.take(clock, out, pool);
+                self.takes.remove(&duty);
+                self.take(clock, out, &duty);
                 break;
             }
         }
     }
 
     /// Longer for who owns more; a hash spreads daemons that own as much.
-    fn wait_before(&self, pool: &PoolId, owned: usize) -> Millis {
+    fn wait_before(&self, duty: &DutyKey, owned: usize) -> Millis {
         let mut hasher = DefaultHasher::new();
-        (self.daemon.as_str(), pool.as_str()).hash(&mut hasher);
+        (self.daemon.as_str(), duty).hash(&mut hasher);
         Millis(TAKE_STEP.0 * owned as u64 + hasher.finish() % TAKE_STEP.0)
     }
 
-    fn take(&mut self, clock: Clock, out: &mut Outbox, pool: &PoolId) {
+    fn take(&mut self, clock: Clock, out: &mut Outbox, duty: &DutyKey) {
         let Some(lease) = self.lease else { return };
-        self.taking.insert(pool.clone());
-        let key = StoreKey::Own(OwnKey::Owner(pool.clone()));
+        self.taking.insert(duty.clone());
+        let key = StoreKey::Own(OwnKey::Owner(duty.clone()));
         let record = OwnerRecord { daemon: self.daemon.clone(), incarnation: self.incarnation };
         let value = PutValue::Own(encode(&record));
         let commit = StoreCommit {
@@ -157,29 +161,29 @@
             puts: vec![StorePut { key, value, lease: Some(lease.id) }],
             remove: Vec::new(),
         };
-        let purpose = CallPurpose::Session(SessionCall::Take(pool.clone()));
+        let purpose = CallPurpose::Session(SessionCall::Take(duty.clone()));
         out.store(clock, purpose, StoreCall::Commit(commit));
     }
 
-    /// Removes the record of a pool that this daemon has given up.
+    /// Removes the record of a duty that this daemon has given up.
     pub(crate) fn release(
         &mut self,
         clock: Clock,
         out: &mut Outbox,
-        pool: &PoolId,
+        duty: &DutyKey,
         token: Revision,
     ) {
-        if !self.taking.insert(pool.clone()) {
+        if !self.taking.insert(duty.clone()) {
             return;
         }
-        let key = StoreKey::Own(OwnKey::Owner(pool.clone()));
+        let key = StoreKey::Own(OwnKey::Owner(duty.clone()));
         let commit =
             StoreCommit { expect: vec![(key.clone(), token)], puts: Vec::new(), remove: vec![key] };
-        let purpose = CallPurpose::Session(SessionCall::Release(pool.clone()));
+        let purpose = CallPurpose::Session(SessionCall::Release(duty.clone()));
         out.store(clock, purpose, StoreCall::Commit(commit));
     }
 
-    /// Takes an answer; the pool and the token when a pool has become this
+    /// Takes an answer; the duty and the token when a duty has become this
     /// daemon's own.
     pub(crate) fn on_answer(
         &mut self,
@@ -188,18 +192,18 @@
         call: SessionCall,
         sent: Moment,
         answer: StoreAnswer,
-    ) -> Option<(PoolId, Revision)> {
+    ) -> Option<(DutyKey, Revision)> {
         match call {
-            SessionCall::Take(pool) => {
-                self.taking.remove(&pool);
-                // After an unknown answer the watch shows whose the pool is.
+            SessionCall::Take(duty) => {
+                self.taking.remove(&duty);
+                // After an unknown answer the watch shows whose the duty is.
                 if let StoreAnswer::Committed(revision) = answer {
-                    return Some((pool, revision));
+                    return Some((duty, revision));
                 }
-                self.takes.insert(pool, clock.now + COMMIT_RETRY);
+                self.takes.insert(duty, clock.now + COMMIT_RETRY);
             }
-            SessionCall::Release(pool) => {
-                self.taking.remove(&pool);
+            SessionCall::Release(duty) => {
+                self.taking.remove(&duty);
             }
             SessionCall::Close => self.is_closed = true,
             SessionCall::Open | SessionCall::Renew(_) => self.on_lease(clock, out, sent, answer),
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -12,11 +12,11 @@
 
 use crate::event::Clock;
 use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
-use crate::key::{KeyScope, OwnKey, StoreKey};
+use crate::key::{DutyKey, KeyScope, OwnKey, StoreKey};
 use crate::model::{FleetConfig, WaveOrder};
 use crate::outbox::{CallPurpose, Outbox};
-use crate::records::{OwnerRecord, PartsDoc, WaveDoc, decode};
-use crate::timing::{READ_RETRY, WATCH_WAIT};
+use crate::records::{OwnerRecord, PartsDoc, PoolNeed, WaveDoc, decode};
+use crate::timing::{READ_RETRY, SHARED_GAP, WATCH_WAIT};
 
 /// Calls of this part.
 #[derive(Debug, Clone, PartialEq)]
@@ -48,9 +48,10 @@
     pub(crate) evacuated: BTreeSet<DataCentreId>,
     pub(crate) waves: BTreeMap<u64, WaveOrder>,
     pub(crate) wave_docs: BTreeMap<u64, Versioned<WaveDoc>>,
-    pub(crate) owners: BTreeMap<PoolId, Versioned<OwnerRecord>>,
+    pub(crate) owners: BTreeMap<DutyKey, Versioned<OwnerRecord>>,
     pub(crate) outcomes: BTreeMap<(PoolId, JobId), Versioned<JobOutcome>>,
     pub(crate) parts: Option<Versioned<PartsDoc>>,
+    pub(crate) needs: BTreeMap<PoolId, Versioned<PoolNeed>>,
     is_loaded: bool,
     follow_from: Option<Revision>,
     seen: BTreeSet<StoreKey>,
@@ -125,7 +126,7 @@
                         StoreEvent::Removed(key) => self.remove(&key, &mut changes),
                     }
                 }
-                self.call(clock, out, None);
+                self.retry_at = Some(clock.now + SHARED_GAP);
             }
             StoreAnswer::Compacted => {
                 out.log("shared-records", "watch", "history gone", "read all again");
@@ -194,9 +195,9 @@
         changes: &mut SharedChanges,
     ) -> Result<(), Box<str>> {
         match key {
-            OwnKey::Owner(pool) => {
+            OwnKey::Owner(duty) => {
                 let record = decode(bytes)?;
-                self.owners.insert(pool.clone(), Versioned { record, revision, created });
+                self.owners.insert(duty.clone(), Versioned { record, revision, created });
                 changes.owners = true;
             }
             OwnKey::Outcome(pool, job) => {
@@ -211,6 +212,10 @@
             OwnKey::Parts => {
                 self.parts = Some(Versioned { record: decode(bytes)?, revision, created });
             }
+            OwnKey::Need(pool) => {
+                let record = decode(bytes)?;
+                self.needs.insert(pool.clone(), Versioned { record, revision, created });
+            }
             OwnKey::Wave(wave) => {
                 let doc = Versioned { record: decode(bytes)?, revision, created };
                 self.wave_docs.insert(*wave, doc);
@@ -228,8 +233,11 @@
             StoreKey::WaveOrder(wave) => {
                 self.waves.remove(wave);
             }
-            StoreKey::Own(OwnKey::Owner(pool)) => {
-                self.owners.remove(pool);
+            StoreKey::Own(OwnKey::Need(pool)) => {
+                self.needs.remove(pool);
+            }
+            StoreKey::Own(OwnKey::Owner(duty)) => {
+                self.owners.remove(duty);
                 changes.owners = true;
             }
             StoreKey::Own(OwnKey::Outcome(pool, job)) => {
@@ -245,12 +253,13 @@
 
     /// Drops what a full reading did not bring.
     fn drop_unseen(&mut self, changes: &mut SharedChanges) {
-        let owners = self.owners.keys().map(|pool| OwnKey::Owner(pool.clone()));
+        let owners = self.owners.keys().map(|duty| OwnKey::Owner(duty.clone()));
+        let needs = self.needs.keys().map(|pool| OwnKey::Need(pool.clone()));
         let outcomes = self.outcomes.keys();
         let outcomes = outcomes.map(|(pool, job)| OwnKey::Outcome(pool.clone(), job.clone()));
         let waves = self.wave_docs.keys().map(|wave| OwnKey::Wave(*wave));
         let parts = self.parts.as_ref().map(|_| OwnKey::Parts);
-        let own = owners.chain(outcomes).chain(waves).chain(parts).map(StoreKey::Own);
+        let own = owners.chain(outcomes).chain(needs).chain(waves).chain(parts).map(StoreKey::Own);
         let evacuated = self.evacuated.iter().map(|place| StoreKey::Evacuation(place.clone()));
         let orders = self.waves.keys().map(|wave| StoreKey::WaveOrder(*wave));
         let known = own.chain(evacuated).chain(orders);
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -10,11 +10,14 @@
 pub(crate) const SESSION_MARGIN: Millis = Millis(400);
 /// Longest wait of a watch; a silent connection is found after it.
 pub(crate) const WATCH_WAIT: Millis = Millis(5_000);
+/// Time between an answer of the shared watch and the next call, so that changes
+/// share an answer.
+pub(crate) const SHARED_GAP: Millis = Millis(25);
 /// Time before a failed read or watch is tried again.
 pub(crate) const READ_RETRY: Millis = Millis(150);
 /// Time between two readings of the minions' reports.
 pub(crate) const REGISTRY_PERIOD: Millis = Millis(400);
-/// Wait before taking a pool that nobody owns, for each pool already owned.
+/// Wait before taking a duty that nobody has, for each duty already had.
 pub(crate) const TAKE_STEP: Millis = Millis(200);
 /// Most jobs that one commit accepts.
 pub(crate) const ACCEPT_BATCH: usize = 7;
@@ -50,8 +53,18 @@
 pub(crate) const PARTS_GAP: Millis = Millis(40);
 /// Time after which minions of an earlier owner that never showed are forgotten.
 pub(crate) const ROSTER_KEPT: Millis = Millis(60_000);
-/// Time between two readings of the list of VMs while a wave is open.
+/// Time between two readings of the list of VMs while orders are open.
 pub(crate) const CLOUD_PERIOD: Millis = Millis(300);
+/// Time between two readings while there is nothing to order.
+pub(crate) const CLOUD_QUIET_PERIOD: Millis = Millis(3_000);
+/// Time after which the list surely shows a VM that was moved.
+pub(crate) const MOVE_SEEN: Millis = Millis(4_000);
+/// Time for which a VM that a pool spares waits for another pool that wants it.
+pub(crate) const SPARED_KEPT: Millis = Millis(600);
+/// Least time between two changes of what a pool wants and spares.
+pub(crate) const NEED_GAP: Millis = Millis(150);
+/// Time after which a VM that is no longer spared gets starts again.
+pub(crate) const SPARED_GRACE: Millis = Millis(1_000);
 /// Error of a minion's clock, in parts of a thousand, with some room.
 pub(crate) const CLOCK_ERROR_PERMILLE: u64 = 30;
 /// Longest time that a stopping daemon waits for open requests.
--- a/crates/fleet/tests/rules/runs.rs
+++ b/crates/fleet/tests/rules/runs.rs
@@ -10,11 +10,13 @@
     AcceleratorCount, DataCentreId, Mebibytes, Millicores, Millis, MinionId, TeamId, VmId,
 };
 
+use crate::cloud::FakeVm;
 use crate::world::{PlannedJob, World};
 
 const DAEMONS: usize = 3;
 const POOLS: usize = 2;
 const MINIONS_OF_POOL: usize = 4;
+const SPARE_VMS: usize = 3;
 /// Seeds of each kind; SEEDS plays more, SEED just one.
 const SEEDS: u64 = 20;
 /// How long a minion takes to come back: longer than an order is on its way.
@@ -43,6 +45,8 @@
             is_advised: false,
         });
     }
+    let spare = PoolConfig { guards_room: true, is_spare: true };
+    pools.insert("pool-spare".parse().expect("a name"), spare);
     let team = |number: usize| TeamConfig {
         team: format!("team-{number}").parse().expect("a name"),
         keys: vec![format!("key-{number}").into()],
@@ -60,6 +64,7 @@
     MinionReport {
         minion: format!("i-{pool}{number}").parse().expect("a name"),
         born: 1 + number as u64,
+        vm: Some(format!("vm-{pool}{number}").parse().expect("a name")),
         pool: format!("pool-{pool}").parse().expect("a name"),
         address: format!("10.0.{pool}.{number}:80").parse().expect("an address"),
         data_centre: format!("dc-{}", number % 2).parse().expect("a name"),
@@ -113,6 +118,10 @@
             world.add_minion(report(pool, number));
         }
     }
+    for number in 0..SPARE_VMS {
+        let vm = format!("vm-spare{number}").parse().expect("a name");
+        world.cloud.vms.insert(vm, FakeVm::new("pool-spare".parse().expect("a name"), None));
+    }
     for number in 0..40u64 {
         let is_lasting = number < 2;
         let (team, spec) = job(&mut world, is_lasting);
--- a/crates/fleet/tests/rules/world.rs
+++ b/crates/fleet/tests/rules/world.rs
@@ -16,8 +16,8 @@
 use rand::{Rng, SeedableRng};
 use state::{DataCentreId, Incarnation, JobId, Millis, MinionId, Moment, TeamId, VmId};
 
-use crate::checker::{RuleChecker, SeenJob};
-use crate::cloud::{CloudFact, FakeCloud};
+use crate::checker::{Breach, RuleChecker, SeenJob};
+use crate::cloud::{CloudFact, FakeCloud, FakeVm};
 use crate::minion::{FakeMinion, MinionFact};
 use crate::store::MemoryStore;
 
@@ -153,6 +153,7 @@
     holds: Vec<WaitingHold>,
     paths: BTreeMap<JobId, JobPath>,
     reports_at: u64,
+    template: Option<MinionReport>,
     trace: bool,
 }
 
@@ -178,6 +179,7 @@
             holds: Vec::new(),
             paths: BTreeMap::new(),
             reports_at: 0,
+            template: None,
             trace: std::env::var_os("TRACE").is_some(),
         };
         world.store.put(StoreKey::Config, ItemValue::Config(config.into()), None);
@@ -218,10 +220,12 @@
     }
 
     pub fn add_minion(&mut self, report: MinionReport) {
+        self.template.get_or_insert(report.clone());
         let rate = self.rng.random_range(980..=1_000);
-        let vm: VmId = format!("vm-{}", report.minion).parse().expect("a name");
-        let row = (report.pool.clone(), report.minion.clone(), None);
-        self.cloud.vms.insert(vm, row);
+        if let Some(vm) = report.vm.clone() {
+            let fake = FakeVm::new(report.pool.clone(), Some(report.minion.clone()));
+            self.cloud.vms.entry(vm).or_insert(fake);
+        }
         let minion = FakeMinion::new(report.clone(), self.now, rate);
         self.minions.insert(report.minion.clone(), minion);
     }
@@ -262,6 +266,26 @@
         self.checker.draining_since.remove(minion);
     }
 
+    /// A VM is back: it is a new minion of its pool, unless that is the spare one.
+    fn raise_vm(&mut self, name: &VmId) {
+        let pool = self.cloud.vms[name].pool.clone();
+        if self.config.pools[&pool].is_spare {
+            return;
+        }
+        let template = self.template.clone().expect("minions were added");
+        let number = self.minions.len();
+        let report = MinionReport {
+            minion: format!("i-new-{number}").parse().expect("a name"),
+            born: self.now,
+            vm: Some(name.clone()),
+            pool,
+            address: format!("10.9.{}.{}:80", number / 200, number % 200).parse().expect("one"),
+            ..template
+        };
+        self.cloud.vms.get_mut(name).expect("a VM").minion = Some(report.minion.clone());
+        self.add_minion(report);
+    }
+
     /// A submitter will hand a job in.
     pub fn plan_job(&mut self, at: u64, job: JobId, planned: PlannedJob) {
         let PlannedJob { team, spec, queue, cancel_after } = planned;
@@ -314,8 +338,8 @@
         if !self.mischief.store_down {
             self.store.expire(now);
         }
-        for minion in self.cloud.advance(now) {
-            self.raise_minion(&minion);
+        for vm in self.cloud.advance(now) {
+            self.raise_vm(&vm);
         }
         let ids: Vec<MinionId> = self.minions.keys().cloned().collect();
         for id in ids {
@@ -629,22 +653,33 @@
             let event = Event::Cloud(call, CloudAnswer::Unknown);
             return self.answer(daemon, incarnation, STORE_TIMEOUT, event);
         }
-        let (answer, fact) = self.cloud.call(self.now, request);
-        if let CloudFact::UpkeepBegan { minion, wave, .. } = fact {
-            let most = match self.store.get(&StoreKey::WaveOrder(wave)).map(|item| &item.value) {
-                Some(ItemValue::Wave(order)) => order.most_down as usize,
-                _ => 0,
-            };
-            if self.cloud.down_of(wave) > most {
-                let what = format!("{} VMs of wave {wave} are down", self.cloud.down_of(wave));
-                let breach = crate::checker::Breach { at: self.now, rule: "LIMIT", what };
-                self.checker.breaches.push(breach);
+        let (answer, fact) = self.cloud.call(self.now, daemon, request);
+        match fact {
+            CloudFact::Nothing => {}
+            CloudFact::Broken(what) => self.breach("ONE", what),
+            CloudFact::MoveBegan { minion } => {
+                minion.iter().for_each(|minion| self.crash_minion(minion));
+            }
+            CloudFact::UpkeepBegan { minion, wave } => {
+                let most = match self.store.get(&StoreKey::WaveOrder(wave)).map(|item| &item.value)
+                {
+                    Some(ItemValue::Wave(order)) => order.most_down as usize,
+                    _ => 0,
+                };
+                let down = self.cloud.down_of(wave);
+                if down > most {
+                    self.breach("LIMIT", format!("{down} VMs of wave {wave} are down"));
+                }
+                minion.iter().for_each(|minion| self.crash_minion(minion));
             }
-            self.crash_minion(&minion);
         }
         self.answer(daemon, incarnation, 3, Event::Cloud(call, answer));
     }
 
+    fn breach(&mut self, rule: &'static str, what: String) {
+        self.checker.breaches.push(Breach { at: self.now, rule, what });
+    }
+
     fn ask(&mut self, job: &JobId, ask: Ask) {
         let (host, path, key) = self.paths[job].clone();
         let up: Vec<usize> = (0..self.daemons.len()).filter(|daemon| self.is_up(*daemon)).collect();
