The spare pool's VMs follow the turns; pools keep their own

Change: a pool spares only VMs beyond those that it had before it first wanted more; a pool without minions reckons with the usual room of a VM.

--- a/crates/fleet/src/pool/need.rs
+++ b/crates/fleet/src/pool/need.rs
@@ -2,14 +2,14 @@
 //!
 //! The pool's work that is not done, by the submitters' estimates, must be done
 //! within about the objective of its jobs; that takes so many cores. A pool with
-//! fewer wants VMs; one with many more empties VMs on which no lasting task runs
-//! and offers them. A VM that was offered is used again only some time after the
+//! fewer wants VMs; one that has more than it needs and than its own empties VMs on
+//! which no lasting task runs and offers them. A VM that was offered is used again only some time after the
 //! offer was withdrawn, because an order may be on its way.
 
 use std::collections::BTreeSet;
 
 use jobs::TaskMark;
-use state::{MinionId, Moment, Revision, VmId};
+use state::{Millis, MinionId, Moment, Revision, VmId};
 
 use super::job::OwnedJob;
 use super::{PoolCall, PoolOwner, StepContext};
@@ -25,8 +25,8 @@
 const MOST_WANTED: u64 = 24;
 /// A pool keeps this many times the cores that its work needs, in percent.
 const KEPT_PERCENT: u64 = 150;
-/// VMs that a pool always keeps besides those with lasting tasks.
-const KEPT_VMS: usize = 1;
+/// Time for which a pool must have more than it needs before it spares a VM.
+const CALM_SPAN: Millis = Millis(1_000);
 
 /// What was last told to the mover.
 #[derive(Debug, Default)]
@@ -37,6 +37,8 @@
     next_at: Moment,
     /// VMs that are being emptied to be spared.
     leaving: BTreeSet<VmId>,
+    /// Since when there have been more VMs than are needed.
+    calm_since: Option<Moment>,
 }
 
 impl PoolOwner {
@@ -62,9 +64,10 @@
             .filter(|vm| self.minion_of_vm(vm).is_some_and(|minion| minion.runs.is_empty()))
             .cloned()
             .collect();
-        let next = PoolNeed { wanted, spared };
-        let is_first = self.need.revision.0 == 0 && next == PoolNeed::default();
-        if next != self.need.told && !is_first {
+        let is_first_want = wanted > 0 && self.need.told.own == 0;
+        let own = if is_first_want { self.staying() as u32 } else { self.need.told.own };
+        let next = PoolNeed { wanted, spared, own };
+        if next != self.need.told {
             self.write_need(context, next);
         }
     }
@@ -99,7 +102,7 @@
             count += 1;
             lasting += self.lasting_cores(&minion.report.minion);
         }
-        let of_vm = room / u64::max(count, 1);
+        let of_vm = room.checked_div(count).unwrap_or_else(|| usual_room(context));
         if of_vm == 0 {
             return (0, self.minions.len());
         }
@@ -107,7 +110,15 @@
         let needed = work / WORK_SPAN_MS + lasting;
         let wanted = needed.saturating_sub(room).div_ceil(of_vm).min(MOST_WANTED);
         let kept = (needed * KEPT_PERCENT / 100).div_ceil(of_vm);
-        (wanted as u32, kept as usize + KEPT_VMS)
+        let wanted = (wanted as u32).max(self.unplaced_lasting());
+        (wanted, kept as usize)
+    }
+
+    /// Tasks of one lasting job that found no minion: each may need one of its own.
+    fn unplaced_lasting(&self) -> u32 {
+        let lasting = self.jobs.values().filter(|job| job.spec.is_lasting());
+        let ready = lasting.map(|job| job.ready.values().map(Vec::len).sum::<usize>());
+        ready.max().unwrap_or(0) as u32
     }
 
     fn lasting_cores(&self, id: &MinionId) -> u64 {
@@ -126,17 +137,20 @@
         let known: BTreeSet<VmId> =
             self.minions.values().filter_map(|minion| minion.report.vm.clone()).collect();
         self.need.leaving.retain(|vm| known.contains(vm));
-        let staying = self
-            .minions
-            .values()
-            .filter(|minion| minion.is_listed && !minion.is_vacating && !minion.report.is_draining);
-        let staying = staying.count();
         if wanted > 0 {
+            self.need.calm_since = None;
             return self.keep_all(now);
         }
         let in_wave: BTreeSet<VmId> =
             open_waves(context).into_iter().flat_map(|order| order.vms).collect();
-        if staying > keeps
+        // Before it first wants more, a pool has only its own.
+        let own = self.need.told.own as usize;
+        if own == 0 || self.staying() <= keeps.max(own) {
+            self.need.calm_since = None;
+            return;
+        }
+        let since = *self.need.calm_since.get_or_insert(now);
+        if now - since >= CALM_SPAN
             && let Some(id) = self.least_needed(&in_wave)
             && let Some(minion) = self.minions.get_mut(&id)
             && let Some(vm) = minion.report.vm.clone()
@@ -146,6 +160,14 @@
         }
     }
 
+    /// VMs that are here and stay.
+    fn staying(&self) -> usize {
+        let stays = |minion: &&super::minion::OwnedMinion| {
+            minion.is_listed && !minion.is_vacating && !minion.report.is_draining
+        };
+        self.minions.values().filter(stays).count()
+    }
+
     /// The minion without lasting tasks that has least to do.
     fn least_needed(&self, in_wave: &BTreeSet<VmId>) -> Option<MinionId> {
         let may_leave = |minion: &&super::minion::OwnedMinion| {
@@ -201,8 +223,7 @@
             StoreAnswer::Committed(revision) => self.need.revision = revision,
             other => {
                 // Nobody knows what was told: it is told again.
-                self.need.told =
-                    PoolNeed { wanted: u32::MAX, spared: self.need.told.spared.clone() };
+                self.need.told.wanted = u32::MAX;
                 self.need.next_at = context.clock.now + COMMIT_RETRY;
                 if !matches!(other, StoreAnswer::Conflict(_)) {
                     context.out.log("need", &self.pool, format!("{other:?}"), "again");
@@ -212,6 +233,12 @@
     }
 }
 
+/// Processor room of a VM, by what all pools' minions report.
+fn usual_room(context: &StepContext) -> u64 {
+    let rooms = context.registry.reports.values().map(|report| report.room.processor.0);
+    rooms.max().unwrap_or(0)
+}
+
 /// Work of a job that is not done, by its estimates, in thousandths of a core times
 /// milliseconds; steps whose turn has not come count half, because they come later.
 fn open_work(job: &OwnedJob) -> u64 {
--- a/crates/fleet/src/records.rs
+++ b/crates/fleet/src/records.rs
@@ -58,6 +58,8 @@
     pub wanted: u32,
     /// VMs that it has emptied and can spare.
     pub spared: BTreeSet<VmId>,
+    /// VMs that it had before it first wanted more: it spares none of these.
+    pub own: u32,
 }
 
 /// How far a VM of a wave has come.
