Failures count once their minion has forgotten them; a stopping owner hands over noted

On SIGTERM an owner also dropped its pools with such ends open. Change: a failed end is taken back when its minion's life ends before it has forgotten the end; a job is given up only without such doubts; SIGTERM notes first, for 600 ms at most; answers carry the owner's token. Jobs that cannot meet their objective by what is left of their chain go last.

--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -14,7 +14,7 @@
 use crate::registry::Registry;
 use crate::session::Session;
 use crate::shared::{SharedChanges, SharedIndex};
-use crate::timing::STOP_PATIENCE;
+use crate::timing::{HAND_OVER_TIME, STOP_PATIENCE};
 
 /// All decisions of one daemon.
 #[derive(Debug)]
@@ -68,24 +68,24 @@
                 }
             }
             Event::Minion(call, answer) => {
-                if let Some((CallPurpose::Pool(pool, call), sent)) = self.out.close(call) {
-                    self.with_pool(clock, &pool, |owner, context| {
+                if let Some((CallPurpose::Pool(pool, token, call), sent)) = self.out.close(call) {
+                    self.with_owner(clock, &pool, token, |owner, context| {
                         owner.on_minion(context, call, sent, answer);
                     });
                 }
             }
             Event::Cloud(call, answer) => {
-                if let Some((CallPurpose::Mover(call), _)) = self.out.close(call) {
+                if let Some((CallPurpose::Mover(token, call), _)) = self.out.close(call) {
                     self.with_mover(clock, |mover, context| {
-                        mover.on_cloud(context, call, answer);
+                        if mover.token() == token {
+                            mover.on_cloud(context, call, answer);
+                        }
                     });
                 }
             }
             Event::Stop => {
-                self.stopping_since = Some(clock.now);
-                self.pools.clear();
-                self.mover = None;
-                self.session.close(clock, &mut self.out);
+                self.stopping_since.get_or_insert(clock.now);
+                self.each_pool(clock, |owner, context| owner.begin_stop(context));
             }
         }
         self.finish_stop(clock);
@@ -141,16 +141,18 @@
             CallPurpose::Intake(call) => {
                 self.intake.on_answer(clock, &mut self.out, &self.shared, call, answer);
             }
-            CallPurpose::Mover(call) => {
-                self.with_mover(clock, |mover, context| mover.on_store(context, call, answer));
-            }
+            CallPurpose::Mover(token, _) => self.with_mover(clock, |mover, context| {
+                if mover.token() == token {
+                    mover.on_store(context, answer);
+                }
+            }),
             CallPurpose::Registry => {
                 if self.registry.on_answer(clock, &mut self.out, answer) {
                     self.each_pool(clock, |owner, context| owner.on_registry(context));
                 }
             }
-            CallPurpose::Pool(pool, call) => {
-                self.with_pool(clock, &pool, |owner, context| {
+            CallPurpose::Pool(pool, token, call) => {
+                self.with_owner(clock, &pool, token, |owner, context| {
                     owner.on_store(context, call, answer);
                 });
             }
@@ -255,6 +257,13 @@
 
     fn finish_stop(&mut self, clock: Clock) {
         let Some(since) = self.stopping_since.filter(|_| !self.is_stopped) else { return };
+        let is_noted = self.pools.values().all(PoolOwner::is_noted);
+        if !self.session.is_closing() && (is_noted || clock.now - since >= HAND_OVER_TIME) {
+            // What is noted is left to the next owners.
+            self.pools.clear();
+            self.mover = None;
+            self.session.close(clock, &mut self.out);
+        }
         let is_idle = self.session.is_closed && self.intake.open_requests() == 0;
         if is_idle || clock.now - since >= STOP_PATIENCE {
             self.is_stopped = true;
@@ -262,6 +271,19 @@
         }
     }
 
+    /// Lets the owner act that has this token, if it still has the pool.
+    fn with_owner(
+        &mut self,
+        clock: Clock,
+        pool: &PoolId,
+        token: Revision,
+        act: impl FnOnce(&mut PoolOwner, &mut StepContext),
+    ) {
+        if self.pools.get(pool).is_some_and(|owner| owner.token() == token) {
+            self.with_pool(clock, pool, act);
+        }
+    }
+
     fn with_pool(
         &mut self,
         clock: Clock,
--- a/crates/fleet/src/mover.rs
+++ b/crates/fleet/src/mover.rs
@@ -111,14 +111,14 @@
         if !self.is_listing && is_due && now >= self.next_list {
             self.is_listing = true;
             self.list_sent = now;
-            let purpose = CallPurpose::Mover(MoverCall::List);
+            let purpose = CallPurpose::Mover(self.token, MoverCall::List);
             context.out.cloud(context.clock, purpose, CloudCall::List);
         }
     }
 
     fn order(&mut self, context: &mut StepContext, vm: &VmId, call: MoverCall, order: CloudCall) {
         self.ordered.insert(vm.clone());
-        context.out.cloud(context.clock, CallPurpose::Mover(call), order);
+        context.out.cloud(context.clock, CallPurpose::Mover(self.token, call), order);
     }
 
     fn keep_wave(&mut self, context: &mut StepContext, order: &WaveOrder) {
@@ -208,7 +208,7 @@
         let commit = wave_commit(owner, self.token, order, revision, next);
         let inputs = format!("{} of {} marked", next.vms.len(), order.vms.len());
         context.out.log("wave", order.wave, inputs, "written");
-        let purpose = CallPurpose::Mover(MoverCall::WaveCommit);
+        let purpose = CallPurpose::Mover(self.token, MoverCall::WaveCommit);
         context.out.store(context.clock, purpose, StoreCall::Commit(commit));
     }
 
@@ -296,12 +296,7 @@
         }
     }
 
-    pub(crate) fn on_store(
-        &mut self,
-        context: &mut StepContext,
-        _call: MoverCall,
-        answer: StoreAnswer,
-    ) {
+    pub(crate) fn on_store(&mut self, context: &mut StepContext, answer: StoreAnswer) {
         self.is_writing = false;
         match answer {
             StoreAnswer::Committed(revision) => self.written = revision,
--- a/crates/fleet/src/outbox.rs
+++ b/crates/fleet/src/outbox.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 use std::collections::BTreeMap;
 
-use state::{Moment, PoolId};
+use state::{Moment, PoolId, Revision};
 
 use crate::event::{CallId, ClientAnswer, Clock, Effect, RequestToken};
 use crate::intake::IntakeCall;
@@ -33,8 +33,10 @@
     Session(SessionCall),
     Intake(IntakeCall),
     Registry,
-    Mover(MoverCall),
-    Pool(PoolId, PoolCall),
+    Mover(Revision, MoverCall),
+    /// With the token of the owner that made the call: a later one must not take
+    /// its answer.
+    Pool(PoolId, Revision, PoolCall),
 }
 
 /// Effects of a step, and open calls of all steps.
--- a/crates/fleet/src/pool/ends.rs
+++ b/crates/fleet/src/pool/ends.rs
@@ -158,7 +158,7 @@
         }
         match kind {
             EndKind::Done => self.task_done(context, &task),
-            EndKind::Failed => self.task_failed(context, &task),
+            EndKind::Failed => self.task_failed(id, &task, number),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
         }
     }
@@ -194,31 +194,6 @@
         }
     }
 
-    fn task_failed(&mut self, context: &mut StepContext, task: &TaskName) {
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let place = place_of(task);
-        let TaskMark::Open(failed) = job.progress.mark(place.0, place.1, place.2) else { return };
-        let is_lasting = job.spec.steps.get(usize::from(place.1)).is_none_or(|step| step.lasting);
-        if is_lasting || job.phase.is_final() {
-            return;
-        }
-        job.progress.set(place.0, place.1, place.2, TaskMark::Open(failed + 1));
-        job.is_progress_dirty = true;
-        let config = context.shared.config.as_ref();
-        let queue = config.and_then(|config| config.queue(&job.queue));
-        // Without its queue's configuration a job is not given up.
-        let attempts = queue.map_or(u32::MAX, |queue| queue.attempts);
-        if u32::from(failed) + 1 >= attempts {
-            job.phase = JobPhase::Failed;
-            job.is_phase_dirty = true;
-            job.ready.clear();
-            let inputs = format!("{} failed {} times", task, failed + 1);
-            context.out.log("job", &task.job, inputs, "failed");
-            let job = task.job.clone();
-            self.stop_job(context, &job);
-        }
-    }
-
     fn take_running(&mut self, context: &mut StepContext, id: &MinionId, row: RunningRow) {
         let now = context.clock.now;
         let Some(minion) = self.minions.get_mut(id) else { return };
--- /dev/null
+++ b/crates/fleet/src/pool/failures.rs
@@ -0,0 +1,79 @@
+//! Failed runs, and jobs that have failed.
+//!
+//! A failed end counts as an attempt once it is saved and its minion has forgotten
+//! it. A minion that ends its life before may have lost the end unseen, so the run
+//! is taken back; else a job could be given up for a failure that nobody can show.
+
+use jobs::{JobPhase, TaskMark, TaskName};
+use state::{JobId, MinionId};
+
+use super::job::{OpenFailure, place_of};
+use super::{PoolOwner, StepContext};
+
+impl PoolOwner {
+    pub(super) fn task_failed(&mut self, id: &MinionId, task: &TaskName, number: u64) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let place = place_of(task);
+        let TaskMark::Open(failed) = job.progress.mark(place.0, place.1, place.2) else { return };
+        let is_lasting = job.spec.steps.get(usize::from(place.1)).is_none_or(|step| step.lasting);
+        if is_lasting || job.phase.is_final() {
+            return;
+        }
+        job.progress.set(place.0, place.1, place.2, TaskMark::Open(failed + 1));
+        job.failures.push(OpenFailure { minion: id.clone(), number, place });
+        job.is_progress_dirty = true;
+    }
+
+    /// A minion has forgotten its ends up to a number.
+    pub(super) fn take_told(&mut self, id: &MinionId, noted: u64) {
+        if let Some(minion) = self.minions.get_mut(id) {
+            minion.told = minion.told.max(noted);
+        }
+        for job in self.jobs.values_mut().filter(|job| !job.failures.is_empty()) {
+            job.failures.retain(|failure| failure.minion != *id || failure.number > noted);
+        }
+    }
+
+    /// A minion's life is over, or nothing is heard of it: what it has not forgotten
+    /// does not count.
+    pub(super) fn forgive_failures(&mut self, context: &mut StepContext, id: &MinionId) {
+        for (name, job) in self.jobs.iter_mut().filter(|(_, job)| !job.failures.is_empty()) {
+            let (lost, kept): (Vec<OpenFailure>, Vec<OpenFailure>) =
+                std::mem::take(&mut job.failures)
+                    .into_iter()
+                    .partition(|failure| failure.minion == *id);
+            job.failures = kept;
+            for failure in lost {
+                let (occurrence, step, index) = failure.place;
+                let inputs = format!("end {} of {id}", failure.number);
+                context.out.log("failure", name, inputs, "taken back");
+                job.progress.forgive(occurrence, step, index);
+                job.is_progress_dirty = true;
+            }
+        }
+    }
+
+    /// Gives up jobs of which a task has failed as often as its queue allows.
+    pub(super) fn settle_failures(&mut self, context: &mut StepContext) {
+        let Some(config) = context.shared.config.as_ref() else { return };
+        let mut spent: Vec<(JobId, TaskName)> = Vec::new();
+        for (name, job) in &self.jobs {
+            if job.phase.is_final() || job.is_inherited {
+                continue;
+            }
+            // Without its queue's configuration a job is not given up.
+            let Some(queue) = config.queue(&job.queue) else { continue };
+            if let Some(place) = job.spent_task(queue.attempts) {
+                spent.push((name.clone(), super::job::task_name(name, place)));
+            }
+        }
+        for (name, task) in spent {
+            let Some(job) = self.jobs.get_mut(&name) else { continue };
+            job.phase = JobPhase::Failed;
+            job.is_phase_dirty = true;
+            job.ready.clear();
+            context.out.log("job", &name, format!("{task} has no attempts left"), "failed");
+            self.stop_job(context, &name);
+        }
+    }
+}
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -18,6 +18,15 @@
     pub(super) run: RunNumber,
 }
 
+/// A failed end that its minion may still list: whether it counts as an attempt is
+/// not certain before the minion has forgotten it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct OpenFailure {
+    pub(super) minion: MinionId,
+    pub(super) number: u64,
+    pub(super) place: TaskPlace,
+}
+
 /// A job with what has ended and what runs.
 #[derive(Debug)]
 pub(super) struct OwnedJob {
@@ -34,6 +43,7 @@
     pub(super) ready: BTreeMap<(u32, u16), Vec<u32>>,
     pub(super) live: BTreeMap<TaskPlace, LiveRun>,
     pub(super) checkpoints: BTreeMap<TaskPlace, Box<str>>,
+    pub(super) failures: Vec<OpenFailure>,
     opened: BTreeSet<(u32, u16)>,
     runs: u64,
     /// The progress must be saved.
@@ -58,6 +68,7 @@
             ready: BTreeMap::new(),
             live: BTreeMap::new(),
             checkpoints: BTreeMap::new(),
+            failures: Vec::new(),
             opened: BTreeSet::new(),
             runs: 0,
             is_progress_dirty: false,
@@ -147,6 +158,25 @@
         sum
     }
 
+    /// A task that has failed as often as is allowed, without a doubt.
+    pub(super) fn spent_task(&self, attempts: u32) -> Option<TaskPlace> {
+        let is_spent = |place: &TaskPlace| {
+            let mark = self.progress.mark(place.0, place.1, place.2);
+            let has_doubt = self.failures.iter().any(|failure| failure.place == *place);
+            matches!(mark, TaskMark::Open(failed) if u32::from(failed) >= attempts) && !has_doubt
+        };
+        let places = self.ready.iter().flat_map(|((occurrence, step), tasks)| {
+            tasks.iter().map(|index| (*occurrence, *step, *index))
+        });
+        places.into_iter().find(is_spent)
+    }
+
+    /// Whether a task may start once more.
+    pub(super) fn has_attempts_left(&self, place: TaskPlace, attempts: u32) -> bool {
+        let mark = self.progress.mark(place.0, place.1, place.2);
+        matches!(mark, TaskMark::Open(failed) if u32::from(failed) < attempts)
+    }
+
     /// A number that is larger than that of every run before, also of earlier owners.
     pub(super) fn next_run(&mut self, token: Revision) -> RunNumber {
         /// Starts of one job under one owner stay below this.
@@ -161,10 +191,15 @@
         self.live.range(range).filter(|(_, live)| live.minion == *minion).count() as u32
     }
 
+    /// The earliest occurrence of which tasks may start.
+    pub(super) fn next_occurrence(&self) -> u32 {
+        self.ready.keys().next().map_or(0, |(occurrence, _)| *occurrence)
+    }
+
     /// When the job should be complete, in milliseconds since 1970.
     pub(super) fn objective_ms(&self, queue: &QueueConfig) -> u64 {
         let chain = self.spec.longest_chain().0 as f64 * queue.stretch;
-        let occurrence = self.ready.keys().next().map_or(0, |(occurrence, _)| *occurrence);
+        let occurrence = self.next_occurrence();
         let begin = self.spec.due_ms(occurrence).max(self.accepted_ms);
         begin + chain as u64 + queue.aim.0
     }
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -60,6 +60,8 @@
     pub(super) seen: u64,
     /// Largest number of an end that is saved.
     pub(super) noted: u64,
+    /// Largest number of an end that the minion has forgotten.
+    pub(super) told: u64,
     pub(super) is_holding: bool,
     /// The newest hold was not answered.
     pub(super) is_silent: bool,
@@ -84,6 +86,7 @@
             used: Resources::default(),
             seen: noted,
             noted,
+            told: noted,
             is_holding: false,
             is_silent: false,
             next_hold: Moment(0),
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -11,6 +11,7 @@
 //! may forget an end only after that.
 
 mod ends;
+mod failures;
 mod job;
 mod limits;
 mod load;
@@ -38,7 +39,7 @@
 use job::OwnedJob;
 use limits::LimitShare;
 use load::LoadStage;
-use minion::OwnedMinion;
+use minion::{OwnedMinion, RunPhase};
 use need::NeedState;
 use save::SaveState;
 use upkeep::UpkeepState;
@@ -52,7 +53,7 @@
     WatchJobs,
     Save,
     Parts,
-    Hold { minion: MinionId, born: u64 },
+    Hold { minion: MinionId, born: u64, noted: u64 },
     Start { minion: MinionId, born: u64, task: TaskName, run: RunNumber },
     Stop,
     Pace { minion: MinionId, task: TaskName, run: RunNumber, percent: u8 },
@@ -84,6 +85,7 @@
     limits: LimitShare,
     upkeep: UpkeepState,
     need: NeedState,
+    is_stopping: bool,
     /// Somebody else owns the pool.
     pub(crate) is_lost: bool,
 }
@@ -103,6 +105,7 @@
             limits: LimitShare::default(),
             upkeep: UpkeepState::default(),
             need: NeedState::default(),
+            is_stopping: false,
             is_lost: false,
         };
         owner.load(context);
@@ -113,13 +116,28 @@
         self.token
     }
 
+    /// Starts nothing any more.
+    pub(crate) fn begin_stop(&mut self, context: &mut StepContext) {
+        context.out.log("pool", &self.pool, "the daemon stops", "starts nothing more");
+        self.is_stopping = true;
+    }
+
+    /// Whether every end that was seen is saved, and no start is open.
+    pub(crate) fn is_noted(&self) -> bool {
+        let is_quiet = |minion: &OwnedMinion| {
+            minion.seen == minion.told
+                && !minion.runs.values().any(|run| matches!(run.phase, RunPhase::Starting { .. }))
+        };
+        !self.stage.is_loaded() || (self.save.is_idle() && self.minions.values().all(is_quiet))
+    }
+
     /// Each write expects this owner's record.
     fn owner_key(&self) -> StoreKey {
         StoreKey::Own(OwnKey::Owner(DutyKey::Pool(self.pool.clone())))
     }
 
     fn purpose(&self, call: PoolCall) -> CallPurpose {
-        CallPurpose::Pool(self.pool.clone(), call)
+        CallPurpose::Pool(self.pool.clone(), self.token, call)
     }
 
     pub(crate) fn on_store(
@@ -146,7 +164,12 @@
         answer: MinionAnswer,
     ) {
         match call {
-            PoolCall::Hold { minion, born } => self.on_held(context, &minion, born, sent, answer),
+            PoolCall::Hold { minion, born, noted } => {
+                if matches!(answer, MinionAnswer::Held { born: shown, .. } if shown == born) {
+                    self.take_told(&minion, noted);
+                }
+                self.on_held(context, &minion, born, sent, answer);
+            }
             PoolCall::Start { minion, born, task, run } => {
                 self.on_started(context, &minion, born, &task, run, answer);
             }
@@ -197,8 +220,9 @@
         if self.stage.is_loaded() {
             self.clear_past(context.clock.now);
         }
+        self.settle_failures(context);
         self.share_limits(context);
-        if self.stage.is_loaded() {
+        if self.stage.is_loaded() && !self.is_stopping {
             self.place(context);
         }
         self.save(context);
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -87,6 +87,7 @@
             context.out.log("run", &task, format!("run {run} on {id}"), why.to_owned());
             self.end_run(id, &task, run);
         }
+        self.forgive_failures(context, id);
     }
 
     /// Gives up what can no longer run on minions that do not answer, and forgets
@@ -150,7 +151,7 @@
         let is_known_life = minion.is_fenced && !minion.is_silent;
         let noted = if is_known_life { minion.noted } else { 0 };
         let order = MinionCall::Hold { until_clock, noted, wait };
-        let call = PoolCall::Hold { minion: id.clone(), born: minion.report.born };
+        let call = PoolCall::Hold { minion: id.clone(), born: minion.report.born, noted };
         let target = target_of(minion);
         let purpose = self.purpose(call);
         context.out.minion(context.clock, purpose, target, self.token.0, order);
--- a/crates/fleet/src/pool/place.rs
+++ b/crates/fleet/src/pool/place.rs
@@ -37,7 +37,8 @@
 struct PlaceRank {
     class: RankClass,
     priority: u32,
-    objective_ms: u64,
+    /// When what is left must begin to be in time, in milliseconds since 1970.
+    latest_ms: u64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -54,6 +55,7 @@
     step: u16,
     spec: StepSpec,
     team: Option<TeamId>,
+    attempts: u32,
 }
 
 impl PoolOwner {
@@ -64,12 +66,15 @@
             let Some(owned) = self.jobs.get(&job) else { continue };
             let groups: Vec<(u32, u16)> = owned.ready.keys().copied().collect();
             let team = owned.team.clone();
+            let queue = config.queue(&owned.queue);
+            let attempts = queue.map_or(u32::MAX, |queue| queue.attempts);
             for (occurrence, step) in groups {
                 let Some(spec) = self.jobs[&job].spec.steps.get(usize::from(step)) else {
                     continue;
                 };
                 let spec = spec.clone();
-                let group = TaskGroup { job: &job, occurrence, step, spec, team: team.clone() };
+                let team = team.clone();
+                let group = TaskGroup { job: &job, occurrence, step, spec, team, attempts };
                 if group.spec.gang {
                     self.place_gang(context, &group);
                 } else {
@@ -140,8 +145,13 @@
     }
 
     fn last_ready(&self, group: &TaskGroup) -> Option<u32> {
-        let tasks = self.jobs.get(group.job)?.ready.get(&(group.occurrence, group.step))?;
-        tasks.last().copied()
+        let job = self.jobs.get(group.job)?;
+        let tasks = job.ready.get(&(group.occurrence, group.step))?;
+        let may_start = |index: &&u32| {
+            group.spec.lasting
+                || job.has_attempts_left((group.occurrence, group.step, **index), group.attempts)
+        };
+        tasks.iter().rev().find(may_start).copied()
     }
 
     fn next_run(&mut self, group: &TaskGroup) -> RunNumber {
@@ -264,12 +274,14 @@
 fn rank(job: &super::job::OwnedJob, queue: Option<&QueueConfig>, wall_ms: u64) -> PlaceRank {
     let priority = queue.map_or(u32::MAX, |queue| queue.priority);
     let objective_ms = queue.map_or(u64::MAX, |queue| job.objective_ms(queue));
+    let remaining = job.spec.remaining_chain(&job.progress, job.next_occurrence());
+    let latest_ms = objective_ms.saturating_sub(remaining.0);
     let class = if job.spec.is_lasting() {
         RankClass::Lasting
-    } else if wall_ms <= objective_ms {
+    } else if wall_ms <= latest_ms {
         RankClass::OnTime
     } else {
         RankClass::Late
     };
-    PlaceRank { class, priority, objective_ms }
+    PlaceRank { class, priority, latest_ms }
 }
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -54,6 +54,11 @@
 }
 
 impl SaveState {
+    /// Whether nothing waits to be saved.
+    pub(super) fn is_idle(&self) -> bool {
+        self.flight.is_none() && !self.has_ends
+    }
+
     pub(super) fn has_removed(&self, job: &JobId) -> bool {
         self.removed.contains(job)
     }
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -76,6 +76,11 @@
         owner.daemon == self.daemon && owner.incarnation == self.incarnation
     }
 
+    /// Whether the lease is being ended.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.is_closing
+    }
+
     /// Ends the lease, so that others take over at once.
     pub(crate) fn close(&mut self, clock: Clock, out: &mut Outbox) {
         self.is_closing = true;
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -67,5 +67,7 @@
 pub(crate) const SPARED_GRACE: Millis = Millis(1_000);
 /// Error of a minion's clock, in parts of a thousand, with some room.
 pub(crate) const CLOCK_ERROR_PERMILLE: u64 = 30;
+/// Longest time that a stopping daemon takes to note what has ended.
+pub(crate) const HAND_OVER_TIME: Millis = Millis(600);
 /// Longest time that a stopping daemon waits for open requests.
 pub(crate) const STOP_PATIENCE: Millis = Millis(3_500);
--- a/crates/fleet/tests/rules/world.rs
+++ b/crates/fleet/tests/rules/world.rs
@@ -620,6 +620,10 @@
             }
             _ => None,
         };
+        if self.trace && matches!(answer, MinionAnswer::Refused(_)) {
+            let minion = &target.minion;
+            println!("{} {minion} refuses edge-{daemon} token {token}: {answer:?}", self.now);
+        }
         if let MinionAnswer::Refused(OrderRefusal::Malformed) = answer {
             panic!("a malformed order");
         }
@@ -747,7 +751,9 @@
                 }
             }
             (Ask::Poll, ClientAnswer::NoJob) => self.checker.missing(self.now, &job),
-            (Ask::Cancel, ClientAnswer::Cancelled | ClientAnswer::NoJob) => {
+            // It came before its job.
+            (Ask::Cancel, ClientAnswer::NoJob) => self.ask_again(&job, Ask::Cancel, 500),
+            (Ask::Cancel, ClientAnswer::Cancelled) => {
                 let seen = self.checker.jobs.get_mut(&job).expect("a job");
                 if seen.is_accepted {
                     seen.cancel_acked = Some(self.now);
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -70,6 +70,13 @@
         marks.replace_range(place..=place, char::from(mark.letter()).encode_utf8(&mut [0; 4]));
     }
 
+    /// Takes a failed run of a task back: it does not count.
+    pub fn forgive(&mut self, occurrence: u32, step: u16, index: u32) {
+        if let TaskMark::Open(failed @ 1..) = self.mark(occurrence, step, index) {
+            self.set(occurrence, step, index, TaskMark::Open(failed - 1));
+        }
+    }
+
     /// How many tasks of a step are done.
     pub fn done_tasks(&self, occurrence: u32, step: u16) -> u32 {
         let marks = self.steps.get(&step_key(occurrence, step));
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use state::{Millis, QueueId, TeamId};
 
-use crate::Resources;
+use crate::{JobProgress, Resources};
 
 /// Most steps of a job; it bounds records and the work of one decision.
 const MOST_STEPS: usize = 64;
@@ -177,6 +177,19 @@
         Millis(ends.into_iter().max().unwrap_or(0))
     }
 
+    /// The estimated run time of the longest chain of steps of an occurrence that are
+    /// not done.
+    pub fn remaining_chain(&self, progress: &JobProgress, occurrence: u32) -> Millis {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for (number, step) in self.steps.iter().enumerate() {
+            let begin = step.after.iter().filter_map(|after| ends.get(usize::from(*after)));
+            let begin = begin.copied().max().unwrap_or(0);
+            let is_done = progress.is_step_done(self, occurrence, number as u16);
+            ends.push(if is_done { 0 } else { begin + step.estimate.0 });
+        }
+        Millis(ends.into_iter().max().unwrap_or(0))
+    }
+
     /// Processor time of one occurrence by the estimates, in thousandths of a
     /// core times milliseconds.
     pub fn estimated_work(&self) -> u64 {
