--- /dev/null
+++ b/crates/jobs/tests/model.rs
@@ -0,0 +1,77 @@
+//! Graphs, progress and names.
+
+use jobs::{JobProgress, JobSpec, RunNumber, StepSpec, TaskMark, TaskName, Timetable};
+use rstest::rstest;
+use state::Millis;
+
+fn step(tasks: u32, estimate: u64, after: &[u16]) -> StepSpec {
+    StepSpec { tasks, estimate: Millis(estimate), after: after.into(), ..StepSpec::default() }
+}
+
+fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec { payload: "text".into(), steps, timetable: None }
+}
+
+#[rstest]
+#[case(vec![])]
+#[case(vec![step(0, 1, &[])])]
+#[case(vec![step(1, 1, &[0])])]
+#[case(vec![step(1, 1, &[]), step(1, 1, &[1])])]
+#[case(vec![step(9_000, 1, &[]), step(9_000, 1, &[]), step(9_000, 1, &[])])]
+fn faulty_graphs_are_refused(#[case] steps: Vec<StepSpec>) {
+    assert!(job(steps).check().is_err());
+}
+
+#[test]
+fn the_longest_chain_follows_the_graph() {
+    let spec = job(vec![step(2, 300, &[]), step(1, 500, &[]), step(3, 100, &[0, 1])]);
+    assert_eq!(spec.check(), Ok(()));
+    assert_eq!(spec.longest_chain(), Millis(600));
+    let mut progress = JobProgress::default();
+    progress.set(0, 1, 0, TaskMark::Done);
+    assert_eq!(spec.remaining_chain(&progress, 0), Millis(400));
+}
+
+#[test]
+fn progress_is_one_letter_a_task() {
+    let spec = job(vec![step(3, 1, &[]), step(1, 1, &[0])]);
+    let mut progress = JobProgress::default();
+    progress.set(0, 0, 2, TaskMark::Done);
+    progress.set(0, 0, 0, TaskMark::Open(2));
+    let text = serde_json::to_string(&progress).expect("text");
+    insta::assert_snapshot!(text, @r#"{"0.0":"2.d"}"#);
+    let read: JobProgress = serde_json::from_str(&text).expect("the same");
+    assert_eq!(read, progress);
+    assert!(!progress.is_step_done(&spec, 0, 0));
+    progress.set(0, 0, 2, TaskMark::Open(1));
+    assert_eq!(progress.mark(0, 0, 2), TaskMark::Done, "a done task stays done");
+    progress.forgive(0, 0, 0);
+    assert_eq!(progress.mark(0, 0, 0), TaskMark::Open(1));
+}
+
+#[test]
+fn a_job_is_complete_when_each_occurrence_is() {
+    let mut spec = job(vec![step(1, 1, &[])]);
+    spec.timetable = Some(Timetable { first_due_ms: 1_000, interval: Millis(500), occurrences: 2 });
+    assert_eq!(spec.due_ms(1), 1_500);
+    let mut progress = JobProgress::default();
+    progress.set(0, 0, 0, TaskMark::Done);
+    assert!(!progress.is_complete(&spec));
+    progress.set(1, 0, 0, TaskMark::Done);
+    assert!(progress.is_complete(&spec));
+}
+
+#[rstest]
+#[case("5c0e7a21d94b36f8.0.1.17", true)]
+#[case("a.b.0.1.17", true)]
+#[case("5c0e.0.1", false)]
+#[case("5c0e.0.1.x", false)]
+#[case("", false)]
+fn names_of_tasks_are_read_back(#[case] text: &str, #[case] is_name: bool) {
+    let name = text.parse::<TaskName>();
+    assert_eq!(name.is_ok(), is_name);
+    if let Ok(name) = name {
+        assert_eq!(name.to_string(), text);
+    }
+    assert!(RunNumber(2) > RunNumber(1));
+}
