--- /dev/null
+++ b/crates/fleet/src/pool/expiry.rs
@@ -0,0 +1,68 @@
+//! Forgets the outcomes of jobs that ended long ago, so that the store and every
+//! daemon's index stay bounded.
+
+use std::collections::VecDeque;
+
+use state::{JobId, Moment};
+
+use super::{PoolCall, PoolOwner, StepContext};
+use crate::io::{StoreCall, StoreCommit};
+use crate::key::{OwnKey, StoreKey};
+use crate::timing::{COMMIT_ROWS, OUTCOME_KEPT};
+
+/// Ended jobs in the order in which this owner learned of their end.
+#[derive(Debug, Default)]
+pub(super) struct ExpiryQueue {
+    ended: VecDeque<(Moment, JobId)>,
+    pub(super) is_writing: bool,
+}
+
+impl ExpiryQueue {
+    fn take_due(&mut self, now: Moment) -> Option<JobId> {
+        let is_due = self.ended.front().is_some_and(|(at, _)| now >= *at + OUTCOME_KEPT);
+        if is_due { self.ended.pop_front().map(|(_, job)| job) } else { None }
+    }
+}
+
+impl PoolOwner {
+    pub(super) fn note_ended(&mut self, now: Moment, job: JobId) {
+        self.expiry.ended.push_back((now, job));
+    }
+
+    /// A new owner keeps what has ended before for the whole time again.
+    pub(super) fn load_ended(&mut self, context: &StepContext) {
+        let now = context.clock.now;
+        for ((pool, job), outcome) in &context.shared.outcomes {
+            if *pool == self.pool && outcome.record.phase.is_final() {
+                self.expiry.ended.push_back((now, job.clone()));
+            }
+        }
+    }
+
+    pub(super) fn expire_outcomes(&mut self, context: &mut StepContext) {
+        if !context.is_valid || self.expiry.is_writing {
+            return;
+        }
+        let mut commit =
+            StoreCommit { expect: vec![(self.owner_key(), self.token)], ..StoreCommit::default() };
+        while commit.rows() + 2 <= COMMIT_ROWS
+            && let Some(job) = self.expiry.take_due(context.clock.now)
+        {
+            let known = context.shared.outcomes.get(&(self.pool.clone(), job.clone()));
+            // Records that are not removed yet still need their outcome.
+            if let Some(known) = known.filter(|_| !self.jobs.contains_key(&job)) {
+                let key = StoreKey::Own(OwnKey::Outcome(self.pool.clone(), job));
+                commit.expect.push((key.clone(), known.revision));
+                commit.remove.push(key);
+            }
+        }
+        if commit.remove.is_empty() {
+            return;
+        }
+        let inputs = format!("{} jobs ended over {OUTCOME_KEPT} ago", commit.remove.len());
+        context.out.log("outcomes", &self.pool, inputs, "forgotten");
+        self.expiry.is_writing = true;
+        let purpose = self.purpose(PoolCall::Expire);
+        context.out.store(context.clock, purpose, StoreCall::Commit(commit));
+    }
+}
--- a/crates/fleet/src/pool/failures.rs
+++ b/crates/fleet/src/pool/failures.rs
@@ -1,9 +1,11 @@
 //! Failed runs, and jobs that have failed.
 //!
-//! A failed end counts as an attempt once it is saved and its minion has forgotten
-//! it. A minion that ends its life before may have lost the end unseen, so the run
+//! A failed end counts as an attempt once it is saved and its minion was told to
+//! forget it. A minion that ends its life before has lost the end unseen, so the run
 //! is taken back; else a job could be given up for a failure that nobody can show.
 
+use std::collections::BTreeSet;
+
 use jobs::{JobPhase, TaskMark, TaskName};
 use state::{JobId, MinionId};
 
@@ -20,10 +22,16 @@
             return;
         }
         job.progress.set(place.0, place.1, place.2, TaskMark::Open(failed + 1));
-        job.failures.push(OpenFailure { minion: id.clone(), number, place });
+        job.failures.push(OpenFailure { minion: id.clone(), number, place, is_named: false });
         job.is_progress_dirty = true;
     }
 
+    /// Minions of which failed ends are not known to count.
+    pub(super) fn doubted_minions(&self) -> BTreeSet<MinionId> {
+        let failures = self.jobs.values().flat_map(|job| &job.failures);
+        failures.map(|failure| failure.minion.clone()).collect()
+    }
+
     /// A minion has forgotten its ends up to a number.
     pub(super) fn take_told(&mut self, id: &MinionId, noted: u64) {
         if let Some(minion) = self.minions.get_mut(id) {
@@ -34,8 +42,17 @@
         }
     }
 
-    /// A minion's life is over, or nothing is heard of it: what it has not forgotten
-    /// does not count.
+    /// A hold that names ends up to a number is on its way.
+    pub(super) fn name_failures(&mut self, id: &MinionId, noted: u64) {
+        for job in self.jobs.values_mut() {
+            let failures = job.failures.iter_mut();
+            let named = failures.filter(|failure| failure.minion == *id && failure.number <= noted);
+            named.for_each(|failure| failure.is_named = true);
+        }
+    }
+
+    /// A minion's life is over, or nothing is heard of it: what it was not told
+    /// to forget does not count.
     pub(super) fn forgive_failures(&mut self, context: &mut StepContext, id: &MinionId) {
         for (name, job) in self.jobs.iter_mut().filter(|(_, job)| !job.failures.is_empty()) {
             let (lost, kept): (Vec<OpenFailure>, Vec<OpenFailure>) =
@@ -43,7 +60,7 @@
                     .into_iter()
                     .partition(|failure| failure.minion == *id);
             job.failures = kept;
-            for failure in lost {
+            for failure in lost.into_iter().filter(|failure| !failure.is_named) {
                 let (occurrence, step, index) = failure.place;
                 let inputs = format!("end {} of {id}", failure.number);
                 context.out.log("failure", name, inputs, "taken back");
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -25,6 +25,8 @@
     pub(super) minion: MinionId,
     pub(super) number: u64,
     pub(super) place: TaskPlace,
+    /// A hold that names it as noted was sent: it has most likely arrived.
+    pub(super) is_named: bool,
 }
 
 /// A job with what has ended and what runs.
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -142,6 +142,7 @@
         if !self.stage.has_jobs {
             self.stage.has_jobs = true;
             self.adopt_need(context);
+            self.load_ended(context);
             let inputs = format!(
                 "{} jobs, {} minions of the roster, {} after taking",
                 self.jobs.len(),
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -144,6 +144,11 @@
         self.used = self.runs.values().fold(Resources::default(), |sum, run| sum.plus(&run.takes));
     }
 
+    /// Whether it runs nothing and lists no end: it can go without loss.
+    pub(super) fn is_empty(&self) -> bool {
+        self.runs.is_empty() && self.seen == self.told
+    }
+
     /// Whether it has answered so lately that what it said still counts.
     pub(super) fn is_heard(&self, now: Moment) -> bool {
         self.clock.is_some_and(|(_, at)| now <= at + HEARD_SPAN)
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -11,6 +11,7 @@
 //! may forget an end only after that.
 
 mod ends;
+mod expiry;
 mod failures;
 mod job;
 mod limits;
@@ -36,6 +37,7 @@
 use crate::registry::Registry;
 use crate::shared::SharedIndex;
 
+use expiry::ExpiryQueue;
 use job::OwnedJob;
 use limits::LimitShare;
 use load::LoadStage;
@@ -59,6 +61,7 @@
     Pace { minion: MinionId, task: TaskName, run: RunNumber, percent: u8 },
     WaveCommit,
     Need,
+    Expire,
 }
 
 /// What a step may use besides the pool's own state.
@@ -85,6 +88,7 @@
     limits: LimitShare,
     upkeep: UpkeepState,
     need: NeedState,
+    expiry: ExpiryQueue,
     is_stopping: bool,
     /// Somebody else owns the pool.
     pub(crate) is_lost: bool,
@@ -105,6 +109,7 @@
             limits: LimitShare::default(),
             upkeep: UpkeepState::default(),
             need: NeedState::default(),
+            expiry: ExpiryQueue::default(),
             is_stopping: false,
             is_lost: false,
         };
@@ -150,6 +155,8 @@
             PoolCall::Save => self.on_saved(context, answer),
             PoolCall::Parts => self.on_parts_written(context, answer),
             PoolCall::WaveCommit => self.on_wave_written(context, answer),
+            // What was not removed is found again by the next owner.
+            PoolCall::Expire => self.expiry.is_writing = false,
             PoolCall::Need => self.on_need_written(context, answer),
             loading => self.on_loaded(context, loading, answer),
         }
@@ -209,6 +216,7 @@
         self.resend_stops(context);
         self.keep_upkeep(context);
         self.keep_need(context);
+        self.expire_outcomes(context);
         self.go_on(context);
     }
 
--- a/crates/fleet/src/pool/need.rs
+++ b/crates/fleet/src/pool/need.rs
@@ -12,6 +12,7 @@
 use state::{Millis, MinionId, Moment, Revision, VmId};
 
 use super::job::OwnedJob;
+use super::minion::OwnedMinion;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
 use crate::key::{OwnKey, StoreKey};
@@ -61,7 +62,7 @@
             .need
             .leaving
             .iter()
-            .filter(|vm| self.minion_of_vm(vm).is_some_and(|minion| minion.runs.is_empty()))
+            .filter(|vm| self.minion_of_vm(vm).is_some_and(OwnedMinion::is_empty))
             .cloned()
             .collect();
         let is_first_want = wanted > 0 && self.need.told.own == 0;
@@ -162,7 +163,7 @@
 
     /// VMs that are here and stay.
     fn staying(&self) -> usize {
-        let stays = |minion: &&super::minion::OwnedMinion| {
+        let stays = |minion: &&OwnedMinion| {
             minion.is_listed && !minion.is_vacating && !minion.report.is_draining
         };
         self.minions.values().filter(stays).count()
@@ -170,7 +171,7 @@
 
     /// The minion without lasting tasks that has least to do.
     fn least_needed(&self, in_wave: &BTreeSet<VmId>) -> Option<MinionId> {
-        let may_leave = |minion: &&super::minion::OwnedMinion| {
+        let may_leave = |minion: &&OwnedMinion| {
             minion.is_listed
                 && minion.is_fenced
                 && !minion.is_vacating
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -134,6 +134,7 @@
 
     fn send_hold(&mut self, context: &mut StepContext, id: &MinionId) {
         let now = context.clock.now;
+        let doubted = self.doubted_minions();
         let Some(minion) = self.minions.get_mut(id) else { return };
         minion.is_holding = true;
         minion.last_hold = now;
@@ -145,7 +146,9 @@
         if let Some(until) = until_clock {
             minion.lend(until, now);
         }
-        let is_quiet = minion.is_fenced && minion.seen == minion.noted;
+        // A failure must soon be known to count, or not.
+        let is_doubted = minion.told < minion.noted && doubted.contains(id);
+        let is_quiet = minion.is_fenced && minion.seen == minion.noted && !is_doubted;
         let wait = if is_quiet { HOLD_WAIT } else { Millis(0) };
         // It may have begun a new life, whose ends count from 1 again.
         let is_known_life = minion.is_fenced && !minion.is_silent;
@@ -153,6 +156,7 @@
         let order = MinionCall::Hold { until_clock, noted, wait };
         let call = PoolCall::Hold { minion: id.clone(), born: minion.report.born, noted };
         let target = target_of(minion);
+        self.name_failures(id, noted);
         let purpose = self.purpose(call);
         context.out.minion(context.clock, purpose, target, self.token.0, order);
     }
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -180,7 +180,9 @@
         let Some(flight) = self.save.flight.take() else { return };
         self.save.next_at = context.clock.now + SAVE_GAP;
         match answer {
-            StoreAnswer::Committed(revision) => self.take_committed(flight, revision),
+            StoreAnswer::Committed(revision) => {
+                self.take_committed(context.clock.now, flight, revision);
+            }
             StoreAnswer::Conflict(items) => {
                 let inputs = format!("{} jobs, other revisions than expected", flight.jobs.len());
                 context.out.log("save", &self.pool, inputs, "again");
@@ -195,7 +197,7 @@
         }
     }
 
-    fn take_committed(&mut self, flight: SaveFlight, revision: Revision) {
+    fn take_committed(&mut self, now: Moment, flight: SaveFlight, revision: Revision) {
         for (name, saved) in flight.jobs {
             let Some(job) = self.jobs.get_mut(&name) else { continue };
             if saved.has_phase {
@@ -206,6 +208,7 @@
             }
             if saved.is_removed {
                 self.jobs.remove(&name);
+                self.note_ended(now, name.clone());
                 self.save.remember_removed(name);
             }
         }
--- a/crates/fleet/src/pool/upkeep.rs
+++ b/crates/fleet/src/pool/upkeep.rs
@@ -83,7 +83,7 @@
             !doc.vms.contains_key(*vm)
                 && self
                     .minion_of_vm(vm)
-                    .is_some_and(|minion| minion.is_vacating && minion.runs.is_empty())
+                    .is_some_and(|minion| minion.is_vacating && minion.is_empty())
         };
         order.vms.iter().find(is_empty).cloned()
     }
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -67,6 +67,8 @@
 pub(crate) const SPARED_GRACE: Millis = Millis(1_000);
 /// Error of a minion's clock, in parts of a thousand, with some room.
 pub(crate) const CLOCK_ERROR_PERMILLE: u64 = 30;
+/// Time for which an ended job's outcome is kept.
+pub(crate) const OUTCOME_KEPT: Millis = Millis(300_000);
 /// Longest time that a stopping daemon takes to note what has ended.
 pub(crate) const HAND_OVER_TIME: Millis = Millis(600);
 /// Longest time that a stopping daemon waits for open requests.
--- a/crates/fleet/tests/rules/runs.rs
+++ b/crates/fleet/tests/rules/runs.rs
@@ -298,3 +298,36 @@
     assert_eq!(begun, vms.len());
     assert_eq!(world.store.statuses.last(), Some(&(1, WavePhase::Complete)));
 }
+
+/// Time after which nothing of an ended job is left, with some room.
+const FORGOTTEN_MS: u64 = 400_000;
+
+#[test]
+fn ended_jobs_are_forgotten() {
+    let mut world = play(1, Trouble::None);
+    let lasting = world.checker.jobs.values().filter(|job| job.spec.is_lasting()).count();
+    world.run_until(RUN_END + FORGOTTEN_MS);
+    // A lasting job has its specification and its outcome.
+    assert_eq!(world.store.job_records(), 2 * lasting);
+}
+
+#[test]
+fn spare_vms_come_for_a_turn_and_go_back() {
+    let mut world = prepare(1);
+    for number in 0..40u64 {
+        let (team, mut spec) = job(&mut world, false);
+        spec.steps.truncate(1);
+        spec.steps[0].tasks = 8;
+        spec.steps[0].needs.processor = Millicores(2_000);
+        let name = format!("{:016x}", 0x9000 + number).parse().expect("a name");
+        let planned = PlannedJob { team, spec, queue: 0, cancel_after: None };
+        world.plan_job(6_000, name, planned);
+    }
+    world.run_until(12_000);
+    assert!(world.cloud.moves >= SPARE_VMS as u64, "{} moves", world.cloud.moves);
+    world.run_until(RUN_END);
+    let spare: state::PoolId = "pool-spare".parse().expect("a name");
+    let back = world.cloud.vms.values().filter(|vm| vm.pool == spare).count();
+    assert_eq!(back, SPARE_VMS);
+    assert_eq!(world.checker.breaches, Vec::new());
+}
--- a/crates/fleet/tests/rules/store.rs
+++ b/crates/fleet/tests/rules/store.rs
@@ -34,7 +34,11 @@
                 | StoreKey::Evacuation(_)
                 | StoreKey::WaveOrder(_)
                 | StoreKey::Own(
-                    OwnKey::Owner(_) | OwnKey::Outcome(..) | OwnKey::Parts | OwnKey::Wave(_)
+                    OwnKey::Owner(_)
+                        | OwnKey::Outcome(..)
+                        | OwnKey::Parts
+                        | OwnKey::Need(_)
+                        | OwnKey::Wave(_)
                 )
         ),
         _ => false,
@@ -63,6 +67,17 @@
         self.items.get(key).map(|(item, _)| item)
     }
 
+    /// Records of jobs: specifications, ends and outcomes.
+    pub fn job_records(&self) -> usize {
+        let is_of_job = |key: &&StoreKey| {
+            matches!(
+                key,
+                StoreKey::Own(OwnKey::Job(..) | OwnKey::Progress(..) | OwnKey::Outcome(..))
+            )
+        };
+        self.items.keys().filter(is_of_job).count()
+    }
+
     /// Forgets its history.
     pub fn compact(&mut self) {
         self.forgotten = self.revision;
