--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -221,16 +221,9 @@
         if self.pools.contains_key(&pool) {
             return;
         }
-        let mut context = StepContext {
-            clock,
-            out: &mut self.out,
-            shared: &self.shared,
-            registry: &self.registry,
-            settings: &self.settings,
-            is_valid: self.session.is_valid(clock.now),
-        };
+        let (mut context, pools, _) = self.split(clock);
         let owner = PoolOwner::new(pool.clone(), token, &mut context);
-        self.pools.insert(pool, owner);
+        pools.insert(pool, owner);
     }
 
     fn drop_lost(&mut self, clock: Clock) {
@@ -271,6 +264,22 @@
         }
     }
 
+    /// What a duty may use, beside the duties themselves.
+    fn split(
+        &mut self,
+        clock: Clock,
+    ) -> (StepContext<'_>, &mut BTreeMap<PoolId, PoolOwner>, &mut Option<VmMover>) {
+        let context = StepContext {
+            clock,
+            out: &mut self.out,
+            shared: &self.shared,
+            registry: &self.registry,
+            settings: &self.settings,
+            is_valid: self.session.is_valid(clock.now),
+        };
+        (context, &mut self.pools, &mut self.mover)
+    }
+
     /// Lets the owner act that has this token, if it still has the pool.
     fn with_owner(
         &mut self,
@@ -290,29 +299,17 @@
         pool: &PoolId,
         act: impl FnOnce(&mut PoolOwner, &mut StepContext),
     ) {
-        let Some(owner) = self.pools.get_mut(pool) else { return };
-        let mut context = StepContext {
-            clock,
-            out: &mut self.out,
-            shared: &self.shared,
-            registry: &self.registry,
-            settings: &self.settings,
-            is_valid: self.session.is_valid(clock.now),
-        };
-        act(owner, &mut context);
+        let (mut context, pools, _) = self.split(clock);
+        if let Some(owner) = pools.get_mut(pool) {
+            act(owner, &mut context);
+        }
     }
 
     fn with_mover(&mut self, clock: Clock, act: impl FnOnce(&mut VmMover, &mut StepContext)) {
-        let Some(mover) = self.mover.as_mut() else { return };
-        let mut context = StepContext {
-            clock,
-            out: &mut self.out,
-            shared: &self.shared,
-            registry: &self.registry,
-            settings: &self.settings,
-            is_valid: self.session.is_valid(clock.now),
-        };
-        act(mover, &mut context);
+        let (mut context, _, mover) = self.split(clock);
+        if let Some(mover) = mover {
+            act(mover, &mut context);
+        }
     }
 
     fn each_pool(&mut self, clock: Clock, act: impl Fn(&mut PoolOwner, &mut StepContext)) {
