--- a/crates/fleet/src/pool/ends.rs
+++ b/crates/fleet/src/pool/ends.rs
@@ -236,10 +236,7 @@
         if let (true, Some(job)) = (is_wanted, job) {
             job.live.insert(place, LiveRun { minion: id.clone(), run: row.run });
             job.withdraw(place);
-            if job.phase == JobPhase::Queued {
-                job.phase = JobPhase::Active;
-                job.is_phase_dirty = true;
-            }
+            job.begin(now);
         }
         let Some(minion) = self.minions.get_mut(id) else { return };
         let run = MinionRun {
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use jobs::{AcceptedJob, JobPhase, JobProgress, JobSpec, Resources, RunNumber, TaskMark, TaskName};
-use state::{JobId, MinionId, QueueId, Revision, TeamId};
+use state::{JobId, MinionId, Moment, QueueId, Revision, TeamId};
 
 use super::place::takes_of;
 use crate::model::QueueConfig;
+use crate::timing::BEGUN_TOLD;
 
 /// A task within its job: occurrence, step, index.
 pub(super) type TaskPlace = (u32, u16, u32);
@@ -50,8 +51,10 @@
     runs: u64,
     /// The progress must be saved.
     pub(super) is_progress_dirty: bool,
-    /// The phase must be saved.
+    /// The phase must be saved: an end at once, a beginning with the time.
     pub(super) is_phase_dirty: bool,
+    /// When the job's first run was started or found.
+    pub(super) begun_at: Option<Moment>,
     /// An earlier owner may have started some of it that is not seen yet.
     pub(super) is_inherited: bool,
 }
@@ -75,13 +78,30 @@
             runs: 0,
             is_progress_dirty: false,
             is_phase_dirty: false,
+            begun_at: None,
             is_inherited: false,
         }
     }
 
     /// Whether it must be saved.
-    pub(super) fn is_dirty(&self) -> bool {
-        self.is_progress_dirty || self.is_phase_dirty || self.is_finished()
+    pub(super) fn is_dirty(&self, now: Moment) -> bool {
+        self.is_progress_dirty || self.is_phase_due(now) || self.is_finished()
+    }
+
+    /// Whether the phase must be saved now. Each change of an outcome wakes every
+    /// daemon, and many jobs end soon after they have begun.
+    pub(super) fn is_phase_due(&self, now: Moment) -> bool {
+        let is_old = self.begun_at.is_none_or(|at| now >= at + BEGUN_TOLD);
+        self.is_phase_dirty && (self.phase.is_final() || is_old)
+    }
+
+    /// A run of the job was started or found.
+    pub(super) fn begin(&mut self, now: Moment) {
+        if self.phase == JobPhase::Queued {
+            self.phase = JobPhase::Active;
+            self.is_phase_dirty = true;
+            self.begun_at = Some(now);
+        }
     }
 
     /// Whether its records can go: nothing of it runs, seen or unseen.
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -146,9 +146,11 @@
         if let Some(until) = until_clock {
             minion.lend(until, now);
         }
-        // A failure must soon be known to count, or not.
-        let is_doubted = minion.told < minion.noted && doubted.contains(id);
-        let is_quiet = minion.is_fenced && minion.seen == minion.noted && !is_doubted;
+        // A failure must soon be known to count, or not; a VM that is emptied must have
+        // forgotten its ends before it goes.
+        let is_urgent = minion.is_vacating || doubted.contains(id);
+        let is_told = minion.told >= minion.noted || !is_urgent;
+        let is_quiet = minion.is_fenced && minion.seen == minion.noted && is_told;
         let wait = if is_quiet { HOLD_WAIT } else { Millis(0) };
         // It may have begun a new life, whose ends count from 1 again.
         let is_known_life = minion.is_fenced && !minion.is_silent;
--- a/crates/fleet/src/pool/place.rs
+++ b/crates/fleet/src/pool/place.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 
-use jobs::{JobPhase, Resources, RunNumber, StepSpec};
+use jobs::{Resources, RunNumber, StepSpec};
 use state::{JobId, MinionId, TeamId};
 
 use super::job::{LiveRun, TaskPlace, task_name};
@@ -247,10 +247,7 @@
         );
         job.withdraw(place);
         job.live.insert(place, LiveRun { minion: id.clone(), run });
-        if job.phase == JobPhase::Queued {
-            job.phase = JobPhase::Active;
-            job.is_phase_dirty = true;
-        }
+        job.begin(now);
         self.limits.add(group.team.as_ref(), &takes);
         let order = MinionCall::Start {
             task: task.clone(),
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -94,7 +94,7 @@
         let dirty: Vec<JobId> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.is_dirty())
+            .filter(|(_, job)| job.is_dirty(context.clock.now))
             .map(|(name, _)| name.clone())
             .collect();
         if dirty.is_empty() && !self.save.is_roster_dirty && !self.save.has_ends {
@@ -109,7 +109,7 @@
                 has_all = false;
                 break;
             }
-            let saved = self.add_job(&mut commit, &job);
+            let saved = self.add_job(context.clock.now, &mut commit, &job);
             flight.jobs.insert(job, saved);
         }
         if has_all {
@@ -144,7 +144,7 @@
         PoolRoster { minions }
     }
 
-    fn add_job(&mut self, commit: &mut StoreCommit, name: &JobId) -> SavedJob {
+    fn add_job(&mut self, now: Moment, commit: &mut StoreCommit, name: &JobId) -> SavedJob {
         let (job_key, progress_key, outcome_key) = self.job_keys(name);
         let Some(job) = self.jobs.get_mut(name) else {
             return SavedJob { has_progress: false, has_phase: false, is_removed: false };
@@ -152,7 +152,7 @@
         let is_removed = job.is_finished();
         let saved = SavedJob {
             has_progress: job.is_progress_dirty && !is_removed,
-            has_phase: job.is_phase_dirty,
+            has_phase: job.is_phase_due(now),
             is_removed,
         };
         commit.expect.push((outcome_key.clone(), job.outcome_revision));
@@ -172,7 +172,7 @@
             }
         }
         job.is_progress_dirty = false;
-        job.is_phase_dirty = false;
+        job.is_phase_dirty &= !saved.has_phase;
         saved
     }
 
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -45,6 +45,8 @@
 pub(crate) const STOP_RETRY: Millis = Millis(400);
 /// Time for which a minion that refused for want of room or health gets no start.
 pub(crate) const REFUSAL_PAUSE: Millis = Millis(250);
+/// Time after which submitters are told that a job has begun.
+pub(crate) const BEGUN_TOLD: Millis = Millis(2_000);
 /// Least time between two saves of a pool, so that ends share them.
 pub(crate) const SAVE_GAP: Millis = Millis(15);
 /// Most rows of a commit.
