Doubts of failures outlive their owner

Ruled out: counting an end twice (the ends of the runs differ). Change: a job's progress keeps its doubted failures with the minion's life; the next owner goes on with them and takes them back when that life is over. The checker no longer accepts a failed job with fewer noted attempts.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -41,4 +41,6 @@
 };
 pub use key::{DutyKey, KeyScope, OwnKey, StoreKey};
 pub use outbox::DecisionLine;
-pub use records::{OwnerRecord, PartsDoc, PoolNeed, PoolRoster, WaveDoc};
+pub use records::{
+    FailureDoubt, OwnerRecord, PartsDoc, PoolNeed, PoolRoster, ProgressRecord, WaveDoc,
+};
--- a/crates/fleet/src/pool/failures.rs
+++ b/crates/fleet/src/pool/failures.rs
@@ -4,13 +4,14 @@
 //! forget it. A minion that ends its life before has lost the end unseen, so the run
 //! is taken back; else a job could be given up for a failure that nobody can show.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use jobs::{JobPhase, TaskMark, TaskName};
 use state::{JobId, MinionId};
 
 use super::job::{OpenFailure, place_of};
 use super::{PoolOwner, StepContext};
+use crate::records::FailureDoubt;
 
 impl PoolOwner {
     pub(super) fn task_failed(&mut self, id: &MinionId, task: &TaskName, number: u64) {
@@ -22,14 +23,16 @@
             return;
         }
         job.progress.set(place.0, place.1, place.2, TaskMark::Open(failed + 1));
-        job.failures.push(OpenFailure { minion: id.clone(), number, place, is_named: false });
+        let born = self.minions.get(id).map_or(0, |minion| minion.report.born);
+        let doubt = FailureDoubt { minion: id.clone(), born, number, task: place };
+        job.failures.push(OpenFailure { doubt, is_named: false });
         job.is_progress_dirty = true;
     }
 
     /// Minions of which failed ends are not known to count.
     pub(super) fn doubted_minions(&self) -> BTreeSet<MinionId> {
         let failures = self.jobs.values().flat_map(|job| &job.failures);
-        failures.map(|failure| failure.minion.clone()).collect()
+        failures.map(|failure| failure.doubt.minion.clone()).collect()
     }
 
     /// A minion has forgotten its ends up to a number.
@@ -38,7 +41,11 @@
             minion.told = minion.told.max(noted);
         }
         for job in self.jobs.values_mut().filter(|job| !job.failures.is_empty()) {
-            job.failures.retain(|failure| failure.minion != *id || failure.number > noted);
+            let count = job.failures.len();
+            job.failures
+                .retain(|failure| failure.doubt.minion != *id || failure.doubt.number > noted);
+            // The next owner must not take back what counts.
+            job.is_progress_dirty |= job.failures.len() < count && !job.phase.is_final();
         }
     }
 
@@ -46,7 +53,8 @@
     pub(super) fn name_failures(&mut self, id: &MinionId, noted: u64) {
         for job in self.jobs.values_mut() {
             let failures = job.failures.iter_mut();
-            let named = failures.filter(|failure| failure.minion == *id && failure.number <= noted);
+            let named = failures
+                .filter(|failure| failure.doubt.minion == *id && failure.doubt.number <= noted);
             named.for_each(|failure| failure.is_named = true);
         }
     }
@@ -54,18 +62,29 @@
     /// A minion's life is over, or nothing is heard of it: what it was not told
     /// to forget does not count.
     pub(super) fn forgive_failures(&mut self, context: &mut StepContext, id: &MinionId) {
+        self.forgive(context, |doubt| doubt.minion == *id);
+    }
+
+    /// The lives of which an earlier owner had doubts are over where no minion of
+    /// that life is known.
+    pub(super) fn forgive_unknown_lives(&mut self, context: &mut StepContext) {
+        let lives: BTreeMap<MinionId, u64> =
+            self.minions.iter().map(|(id, minion)| (id.clone(), minion.report.born)).collect();
+        self.forgive(context, |doubt| lives.get(&doubt.minion) != Some(&doubt.born));
+    }
+
+    fn forgive(&mut self, context: &mut StepContext, is_over: impl Fn(&FailureDoubt) -> bool) {
         for (name, job) in self.jobs.iter_mut().filter(|(_, job)| !job.failures.is_empty()) {
-            let (lost, kept): (Vec<OpenFailure>, Vec<OpenFailure>) =
-                std::mem::take(&mut job.failures)
-                    .into_iter()
-                    .partition(|failure| failure.minion == *id);
+            let failures = std::mem::take(&mut job.failures);
+            let (over, kept): (Vec<OpenFailure>, Vec<OpenFailure>) =
+                failures.into_iter().partition(|failure| is_over(&failure.doubt));
             job.failures = kept;
-            for failure in lost.into_iter().filter(|failure| !failure.is_named) {
-                let (occurrence, step, index) = failure.place;
-                let inputs = format!("end {} of {id}", failure.number);
+            job.is_progress_dirty |= !over.is_empty() && !job.phase.is_final();
+            for failure in over.into_iter().filter(|failure| !failure.is_named) {
+                let (occurrence, step, index) = failure.doubt.task;
+                let inputs = format!("end {} of {}", failure.doubt.number, failure.doubt.minion);
                 context.out.log("failure", name, inputs, "taken back");
                 job.progress.forgive(occurrence, step, index);
-                job.is_progress_dirty = true;
             }
         }
     }
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -7,6 +7,7 @@
 
 use super::place::takes_of;
 use crate::model::QueueConfig;
+use crate::records::{FailureDoubt, ProgressRecord};
 use crate::timing::BEGUN_TOLD;
 
 /// A task within its job: occurrence, step, index.
@@ -23,9 +24,7 @@
 /// not certain before the minion has forgotten it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct OpenFailure {
-    pub(super) minion: MinionId,
-    pub(super) number: u64,
-    pub(super) place: TaskPlace,
+    pub(super) doubt: FailureDoubt,
     /// A hold that names it as noted was sent: it has most likely arrived.
     pub(super) is_named: bool,
 }
@@ -180,11 +179,24 @@
         sum
     }
 
+    /// What is kept of its ends.
+    pub(super) fn progress_record(&self) -> ProgressRecord {
+        let doubts = self.failures.iter().map(|failure| failure.doubt.clone()).collect();
+        ProgressRecord { marks: self.progress.clone(), doubts }
+    }
+
+    /// Takes what was kept of its ends.
+    pub(super) fn take_record(&mut self, record: ProgressRecord) {
+        self.progress = record.marks;
+        let open = |doubt| OpenFailure { doubt, is_named: false };
+        self.failures = record.doubts.into_iter().map(open).collect();
+    }
+
     /// A task that has failed as often as is allowed, without a doubt.
     pub(super) fn spent_task(&self, attempts: u32) -> Option<TaskPlace> {
         let is_spent = |place: &TaskPlace| {
             let mark = self.progress.mark(place.0, place.1, place.2);
-            let has_doubt = self.failures.iter().any(|failure| failure.place == *place);
+            let has_doubt = self.failures.iter().any(|failure| failure.doubt.task == *place);
             matches!(mark, TaskMark::Open(failed) if u32::from(failed) >= attempts) && !has_doubt
         };
         let places = self.ready.iter().flat_map(|((occurrence, step), tasks)| {
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use jobs::{AcceptedJob, JobPhase, JobProgress};
+use jobs::{AcceptedJob, JobPhase};
 use state::{JobId, Millis, MinionId, Moment, Revision};
 
 use super::job::OwnedJob;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
 use crate::key::{DutyKey, KeyScope, OwnKey, StoreKey};
-use crate::records::{PoolRoster, RosterRow, decode};
+use crate::records::{PoolRoster, ProgressRecord, RosterRow, decode};
 use crate::timing::{CLOCK_ERROR_PERMILLE, READ_RETRY, ROSTER_KEPT, RUN_LEASE, WATCH_WAIT};
 
 /// How far reading has come.
@@ -21,7 +21,7 @@
     is_clear: bool,
     is_reading_jobs: bool,
     follow_from: Option<Revision>,
-    progress: BTreeMap<JobId, (JobProgress, Revision)>,
+    progress: BTreeMap<JobId, (ProgressRecord, Revision)>,
     /// Roster's minions that have not shown what runs on them.
     pub(super) unseen: BTreeMap<MinionId, RosterRow>,
     retry: Vec<(Moment, PoolCall, Option<StoreKey>)>,
@@ -172,7 +172,7 @@
     fn take_progress(&mut self, context: &mut StepContext, item: StoreItem) {
         let StoreKey::Own(OwnKey::Progress(_, job)) = &item.key else { return };
         let ItemValue::Own(bytes) = &item.value else { return };
-        match decode::<JobProgress>(bytes) {
+        match decode::<ProgressRecord>(bytes) {
             Ok(progress) => {
                 self.stage.progress.insert(job.clone(), (progress, item.revision));
             }
@@ -198,7 +198,7 @@
         });
         let (progress, progress_revision) = self.stage.progress.remove(job).unwrap_or_default();
         let mut owned = OwnedJob::new(accepted, phase, revision);
-        owned.progress = progress;
+        owned.take_record(progress);
         owned.progress_revision = progress_revision;
         owned.is_inherited = is_inherited;
         owned.open_steps(context.clock.wall_ms);
@@ -213,11 +213,13 @@
 
     /// Ends the caution for what an earlier owner may have started, once nothing of
     /// it can run unseen.
-    pub(super) fn clear_past(&mut self, now: Moment) {
+    pub(super) fn clear_past(&mut self, context: &mut StepContext) {
+        let now = context.clock.now;
         let longest = RUN_LEASE.0 + RUN_LEASE.0 * CLOCK_ERROR_PERMILLE / 1_000 + 500;
         let is_lapsed = now >= self.taken_at + Millis(longest);
         if !self.stage.is_clear && (self.stage.unseen.is_empty() || is_lapsed) {
             self.stage.is_clear = true;
+            self.forgive_unknown_lives(context);
             for job in self.jobs.values_mut() {
                 job.is_inherited = false;
             }
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -226,7 +226,7 @@
             return;
         }
         if self.stage.is_loaded() {
-            self.clear_past(context.clock.now);
+            self.clear_past(context);
         }
         self.settle_failures(context);
         self.share_limits(context);
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -163,7 +163,7 @@
         }
         if saved.has_progress {
             commit.expect.push((progress_key.clone(), job.progress_revision));
-            let value = PutValue::Own(encode(&job.progress));
+            let value = PutValue::Own(encode(&job.progress_record()));
             commit.puts.push(StorePut { key: progress_key, value, lease: None });
         } else if is_removed {
             commit.remove.push(job_key);
--- a/crates/fleet/src/records.rs
+++ b/crates/fleet/src/records.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use jobs::Resources;
+use jobs::{JobProgress, Resources};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use state::{DaemonId, Incarnation, MinionId, PoolId, TeamId, VmId};
@@ -28,6 +28,29 @@
     pub noted: u64,
 }
 
+/// A failed end that its minion may not have been told to forget.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailureDoubt {
+    /// The minion.
+    pub minion: MinionId,
+    /// When the life that lists the end began.
+    pub born: u64,
+    /// The end.
+    pub number: u64,
+    /// Occurrence, step and index of the task.
+    pub task: (u32, u16, u32),
+}
+
+/// What has ended of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ProgressRecord {
+    /// A letter a task; doubted failures are counted.
+    pub marks: JobProgress,
+    /// Failures that are taken back if the minion's life ends first.
+    #[serde(default)]
+    pub doubts: Vec<FailureDoubt>,
+}
+
 /// Every minion on which tasks of a pool may run.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct PoolRoster {
--- a/crates/fleet/tests/rules/checker.rs
+++ b/crates/fleet/tests/rules/checker.rs
@@ -238,12 +238,7 @@
                 .any(|(task, failed)| task.job == *job && *failed >= seen.attempts)
         };
         if phase == JobPhase::Failed && !has_failed() {
-            // Its last failed end may be saved and not noted yet.
-            let open = self.unnoted.values().flat_map(BTreeMap::values);
-            let open = open.filter(|(task, kind)| task.job == *job && *kind == EndKind::Failed);
-            if open.count() == 0 {
-                self.breach(now, "LOST", format!("{job} is shown as failed without cause"));
-            }
+            self.breach(now, "LOST", format!("{job} is shown as failed without cause"));
         }
     }
 
--- a/crates/fleet/tests/rules/runs.rs
+++ b/crates/fleet/tests/rules/runs.rs
@@ -149,6 +149,8 @@
     CutMinions,
     LateOrders,
     FailingRuns,
+    /// Runs fail while daemons are killed and minions crash.
+    FailuresLost,
     DrainedMinions,
     DataCentreOut,
     Wave,
@@ -196,6 +198,13 @@
         }
         Trouble::LateOrders => world.mischief.late_orders = 0.3,
         Trouble::FailingRuns => world.mischief.failing_runs = 0.4,
+        Trouble::FailuresLost => {
+            world.mischief.failing_runs = 0.7;
+            world.run_until(at + span / 2);
+            world.kill_daemon(daemon);
+            world.run_until(at + span / 2 + 40);
+            world.crash_minion(&minion);
+        }
         Trouble::DrainedMinions => {
             world.minions.get_mut(&minion).expect("a minion").report.is_draining = true;
         }
@@ -206,6 +215,10 @@
     world.mischief = Default::default();
     match kind {
         Trouble::KilledDaemons => world.start_daemon(daemon),
+        Trouble::FailuresLost => {
+            world.start_daemon(daemon);
+            world.raise_minion(&minion);
+        }
         Trouble::AllKilled => (0..DAEMONS).for_each(|daemon| world.start_daemon(daemon)),
         Trouble::CutMinions => {
             world.minions.get_mut(&minion).expect("a minion").is_cut = false;
@@ -259,6 +272,7 @@
 #[case(Trouble::Wave)]
 #[case(Trouble::AllKilled)]
 #[case(Trouble::Mixed)]
+#[case(Trouble::FailuresLost)]
 fn rules_hold_under(#[case] kind: Trouble) {
     let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
     let seeds = match number("SEED") {
