A VM is empty only when its minion has said so; failures before a lapse do not count

Change: empty means fenced, no run and every end told; failures listed before a lapse that were not told are no attempts.

--- a/crates/fleet/src/pool/ends.rs
+++ b/crates/fleet/src/pool/ends.rs
@@ -123,8 +123,12 @@
             minion.lend(clock_ms + RUN_LEASE.0, now);
             self.save.is_roster_dirty = true;
         }
+        // Ends from before a lapse that are not noted yet never will be.
+        let is_lapsed = |row: &&EndedRow| row.kind == EndKind::Lapsed;
+        let lapse = ended.iter().filter(is_lapsed).map(|row| row.number).max().unwrap_or(0);
+        self.forgive_before_lapse(context, id, lapse);
         for row in ended {
-            self.take_end(context, id, row);
+            self.take_end(context, id, row, lapse);
         }
         let mut listed: BTreeSet<RunKey> = BTreeSet::new();
         for row in running {
@@ -136,7 +140,7 @@
         self.pace_fillers(context, id);
     }
 
-    fn take_end(&mut self, context: &mut StepContext, id: &MinionId, row: EndedRow) {
+    fn take_end(&mut self, context: &mut StepContext, id: &MinionId, row: EndedRow, lapse: u64) {
         let Some(minion) = self.minions.get_mut(id) else { return };
         if row.number <= minion.seen {
             return;
@@ -158,8 +162,12 @@
         }
         match kind {
             EndKind::Done => self.task_done(context, &task),
-            EndKind::Failed => self.task_failed(id, &task, number),
-            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+            EndKind::Failed if number > lapse => self.task_failed(id, &task, number),
+            EndKind::Failed
+            | EndKind::Stopped
+            | EndKind::Lapsed
+            | EndKind::Broken
+            | EndKind::Alone => {}
         }
     }
 
--- a/crates/fleet/src/pool/failures.rs
+++ b/crates/fleet/src/pool/failures.rs
@@ -65,6 +65,17 @@
         self.forgive(context, |doubt| doubt.minion == *id);
     }
 
+    /// A minion's lease has lapsed before its end `lapse`: failures from before that
+    /// it was not told to forget do not count.
+    pub(super) fn forgive_before_lapse(
+        &mut self,
+        context: &mut StepContext,
+        id: &MinionId,
+        lapse: u64,
+    ) {
+        self.forgive(context, |doubt| doubt.minion == *id && doubt.number < lapse);
+    }
+
     /// The lives of which an earlier owner had doubts are over where no minion of
     /// that life is known.
     pub(super) fn forgive_unknown_lives(&mut self, context: &mut StepContext) {
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -144,9 +144,10 @@
         self.used = self.runs.values().fold(Resources::default(), |sum, run| sum.plus(&run.takes));
     }
 
-    /// Whether it runs nothing and lists no end: it can go without loss.
+    /// Whether it has said that it runs nothing and lists no end: it can go without
+    /// loss.
     pub(super) fn is_empty(&self) -> bool {
-        self.runs.is_empty() && self.seen == self.told
+        self.is_fenced && self.runs.is_empty() && self.seen == self.told
     }
 
     /// Whether it has answered so lately that what it said still counts.
