Failed ends count once, whoever owns the pool

Change: a failure that is in doubt already is not counted again; what a minion no longer lists to a new owner was told, and counts.

--- a/crates/fleet/src/pool/ends.rs
+++ b/crates/fleet/src/pool/ends.rs
@@ -122,6 +122,10 @@
             // An earlier owner's leases last at most so long from here.
             minion.lend(clock_ms + RUN_LEASE.0, now);
             self.save.is_roster_dirty = true;
+            // It lists all ends but those that an earlier owner has told it to forget.
+            let first_end = ended.iter().map(|row| row.number).min().unwrap_or(u64::MAX);
+            let born = minion.report.born;
+            self.settle_forgotten(id, born, first_end.saturating_sub(1));
         }
         // Ends from before a lapse that are not noted yet never will be.
         let is_lapsed = |row: &&EndedRow| row.kind == EndKind::Lapsed;
--- a/crates/fleet/src/pool/failures.rs
+++ b/crates/fleet/src/pool/failures.rs
@@ -22,9 +22,13 @@
         if is_lasting || job.phase.is_final() {
             return;
         }
-        job.progress.set(place.0, place.1, place.2, TaskMark::Open(failed + 1));
         let born = self.minions.get(id).map_or(0, |minion| minion.report.born);
         let doubt = FailureDoubt { minion: id.clone(), born, number, task: place };
+        // An earlier owner saved the failure and died before it saved the end's number.
+        if job.failures.iter().any(|failure| failure.doubt == doubt) {
+            return;
+        }
+        job.progress.set(place.0, place.1, place.2, TaskMark::Open(failed + 1));
         job.failures.push(OpenFailure { doubt, is_named: false });
         job.is_progress_dirty = true;
     }
@@ -35,15 +39,22 @@
         failures.map(|failure| failure.doubt.minion.clone()).collect()
     }
 
-    /// A minion has forgotten its ends up to a number.
+    /// A minion was told to forget its ends up to a number.
     pub(super) fn take_told(&mut self, id: &MinionId, noted: u64) {
-        if let Some(minion) = self.minions.get_mut(id) {
-            minion.told = minion.told.max(noted);
-        }
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        minion.told = minion.told.max(noted);
+        let born = minion.report.born;
+        self.settle_forgotten(id, born, noted);
+    }
+
+    /// Failures count without a doubt that a minion has forgotten in its present life.
+    pub(super) fn settle_forgotten(&mut self, id: &MinionId, born: u64, upto: u64) {
+        let is_settled = |doubt: &FailureDoubt| {
+            doubt.minion == *id && doubt.born == born && doubt.number <= upto
+        };
         for job in self.jobs.values_mut().filter(|job| !job.failures.is_empty()) {
             let count = job.failures.len();
-            job.failures
-                .retain(|failure| failure.doubt.minion != *id || failure.doubt.number > noted);
+            job.failures.retain(|failure| !is_settled(&failure.doubt));
             // The next owner must not take back what counts.
             job.is_progress_dirty |= job.failures.len() < count && !job.phase.is_final();
         }
