--- a/crates/fleet/src/pool/need.rs
+++ b/crates/fleet/src/pool/need.rs
@@ -1,14 +1,15 @@
 //! How many VMs the pool wants, and which it can spare.
 //!
 //! The pool's work that is not done, by the submitters' estimates, must be done
-//! within about the objective of its jobs; that takes so many cores. A pool with
-//! fewer wants VMs; one that has more than it needs and than its own empties VMs on
+//! within about the objective of its jobs; that takes so many cores. So does work that
+//! comes in faster than it can be done, before it has piled up: a VM needs seconds to
+//! come. A pool with fewer cores wants VMs; one that has more than it needs and than its own empties VMs on
 //! which no lasting task runs and offers them. A VM that was offered is used again only some time after the
 //! offer was withdrawn, because an order may be on its way.
 
 use std::collections::BTreeSet;
 
-use jobs::TaskMark;
+use jobs::{StepSpec, TaskMark};
 use state::{Millis, MinionId, Moment, Revision, VmId};
 
 use super::job::OwnedJob;
@@ -22,6 +23,8 @@
 
 /// Time in which work that waits should be done, in milliseconds.
 const WORK_SPAN_MS: u64 = 1_500;
+/// Time over which the work that comes in is measured, in milliseconds.
+const RATE_SPAN_MS: u64 = 1_000;
 /// Most VMs that a pool wants besides its own.
 const MOST_WANTED: u64 = 24;
 /// A pool keeps this many times the cores that its work needs, in percent.
@@ -108,7 +111,10 @@
             return (0, self.minions.len());
         }
         let work: u64 = self.jobs.values().map(open_work).sum();
-        let needed = work / WORK_SPAN_MS + lasting;
+        let since_ms = context.clock.wall_ms.saturating_sub(RATE_SPAN_MS);
+        let new_jobs = self.jobs.values().filter(|job| job.accepted_ms > since_ms);
+        let new_work: u64 = new_jobs.map(whole_work).sum();
+        let needed = (work / WORK_SPAN_MS).max(new_work / RATE_SPAN_MS) + lasting;
         let wanted = needed.saturating_sub(room).div_ceil(of_vm).min(MOST_WANTED);
         let kept = (needed * KEPT_PERCENT / 100).div_ceil(of_vm);
         let wanted = (wanted as u32).max(self.unplaced_lasting());
@@ -240,6 +246,16 @@
     rooms.max().unwrap_or(0)
 }
 
+/// Work of a job by its estimates, in thousandths of a core times milliseconds.
+fn whole_work(job: &OwnedJob) -> u64 {
+    if job.spec.is_lasting() || job.spec.timetable.is_some() {
+        return 0;
+    }
+    let of_step =
+        |step: &StepSpec| u64::from(step.tasks) * step.needs.processor.0 * step.estimate.0;
+    job.spec.steps.iter().map(of_step).sum()
+}
+
 /// Work of a job that is not done, by its estimates, in thousandths of a core times
 /// milliseconds; steps whose turn has not come count half, because they come later.
 fn open_work(job: &OwnedJob) -> u64 {
--- a/crates/fleet/tests/rules/runs.rs
+++ b/crates/fleet/tests/rules/runs.rs
@@ -389,3 +389,21 @@
     assert_eq!(back, SPARE_VMS);
     assert_eq!(world.checker.breaches, Vec::new());
 }
+
+#[test]
+fn spare_vms_come_before_work_piles_up() {
+    let mut world = prepare(1);
+    // 85 cores of work a second, of which 64 can be done.
+    for number in 0..24u64 {
+        let (team, mut spec) = job(&mut world, false);
+        spec.steps.truncate(1);
+        spec.steps[0].tasks = 5;
+        spec.steps[0].needs.processor = Millicores(2_000);
+        let name = format!("{:016x}", 0x9000 + number).parse().expect("a name");
+        let planned = PlannedJob { team, spec, queue: 0, cancel_after: None };
+        world.plan_job(5_000 + number * 118, name, planned);
+    }
+    // The work of this time alone is more than half of what a second can do.
+    world.run_until(6_000 + 700);
+    assert!(world.cloud.moves >= 1, "no VM was moved");
+}
