Queues have the product's own interface and commands

Change: a request names its queue or its host and path (ClientTarget); the internal address serves /queues in the product's own text form, with the team's key; the command line checks, submits, shows, watches and cancels. Fields that a job does not have are faults. The want of VMs uses the estimate of work that the model had.

Not run over real sockets with a store.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
-use state::{DataCentreId, JobId, KeyId, PoolId, TeamId, VmId};
+use state::{DataCentreId, JobId, KeyId, PoolId, QueueId, TeamId, VmId};
 
 /// Manages a fleet through its daemons, and hands in jobs.
 #[derive(Debug, Clone, Bpaf)]
@@ -55,6 +55,54 @@
     /// Jobs.
     #[bpaf(command("job"))]
     Job(#[bpaf(external(job_action))] JobAction),
+    /// Queues, and jobs of steps on them; the daemons' internal addresses serve these.
+    #[bpaf(command("queue"))]
+    Queue(#[bpaf(external(queue_action))] QueueAction),
+}
+
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) enum QueueAction {
+    /// Only checks a job's file.
+    #[bpaf(command("check"))]
+    Check {
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Hands in the job in a file; it is durable when this returns. The same name
+    /// again is the same job.
+    #[bpaf(command("submit"))]
+    Submit {
+        #[bpaf(positional("QUEUE"))]
+        queue: QueueId,
+        #[bpaf(positional("JOB"))]
+        job: JobId,
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Shows a job, or how many jobs of the queue have not begun.
+    #[bpaf(command("show"))]
+    Show {
+        #[bpaf(positional("QUEUE"))]
+        queue: QueueId,
+        #[bpaf(positional("JOB"))]
+        job: Option<JobId>,
+    },
+    /// Shows a job each time its phase changes, until it has ended.
+    #[bpaf(command("watch"))]
+    Watch {
+        #[bpaf(positional("QUEUE"))]
+        queue: QueueId,
+        #[bpaf(positional("JOB"))]
+        job: JobId,
+    },
+    /// Withdraws a job.
+    #[bpaf(command("cancel"))]
+    Cancel {
+        #[bpaf(positional("QUEUE"))]
+        queue: QueueId,
+        #[bpaf(positional("JOB"))]
+        job: JobId,
+    },
 }
 
 #[derive(Debug, Clone, Bpaf)]
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -55,7 +55,11 @@
     /// one that a daemon recognises when it comes again.
     pub(crate) fn call(&self, method: &str, path: &str, body: &Value) -> Result<DaemonReply> {
         let body = if body.is_null() { Vec::new() } else { serde_json::to_vec(body)? };
-        let path = format!("/control/{path}");
+        self.send(method, &format!("/control/{path}"), &body)
+    }
+
+    /// Sends bytes to the first daemon that takes them.
+    pub(crate) fn send(&self, method: &str, path: &str, body: &[u8]) -> Result<DaemonReply> {
         let headers: Vec<(&str, &str)> =
             self.bearer.iter().map(|bearer| ("Authorization", bearer.as_str())).collect();
         let mut last = eyre!("no daemon was named; use --daemon ADDRESS");
@@ -63,9 +67,9 @@
             let call = HttpCall {
                 method,
                 address: daemon,
-                path: &path,
+                path,
                 headers: &headers,
-                body: &body,
+                body,
                 timeout: CALL_TIMEOUT,
             };
             match send_http(&call) {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -10,6 +10,7 @@
 mod job;
 mod keys;
 mod operate;
+mod queue;
 mod render;
 
 use std::process::ExitCode;
@@ -63,5 +64,6 @@
         Command::Measures => operate::show(&client, "measures", render::measures),
         Command::Config => operate::show(&client, "config", render::pretty),
         Command::Job(action) => job::run(&client, action),
+        Command::Queue(action) => queue::run(&client, action),
     }
 }
--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -36,6 +36,14 @@
     text
 }
 
+/// A job's phase, or a queue's jobs that have not begun.
+pub(crate) fn phase(body: &Value) -> String {
+    match body["pending"].as_u64() {
+        Some(pending) => format!("{pending} jobs have not begun\n"),
+        None => format!("{}\n", plain(&body["phase"])),
+    }
+}
+
 /// One job.
 pub(crate) fn job(body: &Value) -> String {
     let state = &body["record"]["state"];
--- a/crates/daemon/src/carrier/front.rs
+++ b/crates/daemon/src/carrier/front.rs
@@ -44,7 +44,8 @@
         }
     };
     let head = head_of(&request);
-    let token = host.admit(request);
+    let token = host.next_token();
+    host.admit(token, request, respond);
     match platform::decode_client(token, &head, &body) {
         Ok(call) => host.post(Event::Client(call)),
         Err(answer) => refuse(host, token, &head, &answer),
@@ -68,13 +69,17 @@
     }
 }
 
-/// Writes an answer; a caller that has gone needs none.
-pub fn respond(request: Request, answer: &ClientAnswer) {
+fn respond(request: Request, answer: &ClientAnswer) {
     let reply = platform::encode_answer(answer);
-    let mut response = Response::from_string(String::from(reply.body))
-        .with_status_code(reply.status)
+    send(request, reply.status, reply.body.into(), reply.retry_after_s);
+}
+
+/// Writes an answer; a caller that has gone needs none.
+pub fn send(request: Request, status: u16, body: String, retry_after_s: Option<u64>) {
+    let mut response = Response::from_string(body)
+        .with_status_code(status)
         .with_header(header("Content-Type", "application/json"));
-    if let Some(seconds) = reply.retry_after_s {
+    if let Some(seconds) = retry_after_s {
         response = response.with_header(header("Retry-After", &seconds.to_string()));
     }
     if let Err(error) = request.respond(response) {
--- a/crates/daemon/src/carrier/host.rs
+++ b/crates/daemon/src/carrier/host.rs
@@ -14,13 +14,16 @@
 use tiny_http::Request;
 use transport::CallRing;
 
-use super::front;
 use super::meters::Meters;
 
+/// Writes an answer to a request in the form that its caller speaks.
+pub type Respond = fn(Request, &ClientAnswer);
+
 /// A submitter's request that waits for its answer.
-pub struct OpenClient {
-    pub request: Request,
-    pub since: Moment,
+struct OpenClient {
+    request: Request,
+    respond: Respond,
+    since: Moment,
 }
 
 /// Everything that the threads share.
@@ -69,12 +72,15 @@
         *self.settings.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(settings);
     }
 
+    /// A name for a request.
+    pub fn next_token(&self) -> RequestToken {
+        RequestToken(self.last_token.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+
     /// Keeps a request until its answer comes.
-    pub fn admit(&self, request: Request) -> RequestToken {
-        let token = RequestToken(self.last_token.fetch_add(1, Ordering::Relaxed) + 1);
-        let client = OpenClient { request, since: now() };
+    pub fn admit(&self, token: RequestToken, request: Request, respond: Respond) {
+        let client = OpenClient { request, respond, since: now() };
         self.clients.lock().unwrap_or_else(PoisonError::into_inner).insert(token, client);
-        token
     }
 
     /// Answers a request that is kept.
@@ -82,7 +88,7 @@
         let client = self.clients.lock().unwrap_or_else(PoisonError::into_inner).remove(&token);
         if let Some(client) = client {
             self.meters.answered(answer, now() - client.since);
-            front::respond(client.request, answer);
+            (client.respond)(client.request, answer);
         }
     }
 
--- a/crates/daemon/src/carrier/mod.rs
+++ b/crates/daemon/src/carrier/mod.rs
@@ -9,6 +9,7 @@
 mod host;
 mod lines;
 mod meters;
+mod own;
 mod probes;
 mod reload;
 
--- a/crates/daemon/src/carrier/probes.rs
+++ b/crates/daemon/src/carrier/probes.rs
@@ -1,4 +1,4 @@
-//! Readiness and metrics.
+//! Readiness, and what is served on the internal address: metrics and queues.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,36 +9,42 @@
 use transport::HttpServer;
 
 use super::host::FleetHost;
+use super::own;
 
-/// Starts answering the platform's questions for readiness, and metrics.
+/// Starts answering the platform's questions for readiness, and internal callers.
 ///
 /// # Errors
 ///
 /// The reason why an address cannot be listened on or a thread not started.
 pub fn start(settings: &PlatformSettings, host: &Arc<FleetHost>) -> Result<()> {
-    serve("readiness", settings.readiness, host, |host, _| {
-        if host.is_ready() {
+    serve("readiness", settings.readiness, host, |host, request| {
+        let response = if host.is_ready() {
             Response::from_string("ready")
         } else {
             Response::from_string("not ready").with_status_code(503)
-        }
+        };
+        respond(request, response);
     })?;
     serve("metrics", settings.metrics, host, |host, request| {
         if request.url() == "/metrics" {
-            Response::from_string(host.meters.text())
+            respond(request, Response::from_string(host.meters.text()));
         } else {
-            Response::from_string("see /metrics").with_status_code(404)
+            own::take(host, request);
         }
     })
 }
 
-type TextResponse = Response<std::io::Cursor<Vec<u8>>>;
+fn respond(request: Request, response: Response<std::io::Cursor<Vec<u8>>>) {
+    if let Err(error) = request.respond(response) {
+        tracing::debug!(%error, "the caller had gone");
+    }
+}
 
 fn serve(
     name: &str,
     address: SocketAddr,
     host: &Arc<FleetHost>,
-    answer: fn(&FleetHost, &Request) -> TextResponse,
+    take: fn(&Arc<FleetHost>, Request),
 ) -> Result<()> {
     let server = HttpServer::listen(address).map_err(|reason| eyre!("{reason}"))?;
     let host = Arc::clone(host);
@@ -46,10 +52,7 @@
     thread
         .spawn(move || {
             while let Some(request) = server.receive() {
-                let response = answer(&host, &request);
-                if let Err(error) = request.respond(response) {
-                    tracing::debug!(%error, "the caller had gone");
-                }
+                take(&host, request);
             }
         })
         .wrap_err_with(|| format!("{name} thread"))?;
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -1,7 +1,9 @@
 //! What comes into the state machine and what goes out.
 
+use std::fmt;
+
 use jobs::{JobPhase, JobSpec};
-use state::{Millis, Moment};
+use state::{Millis, Moment, QueueId};
 
 use crate::io::{
     CloudAnswer, CloudCall, MinionAnswer, MinionCall, MinionTarget, StoreAnswer, StoreCall,
@@ -30,21 +32,47 @@
 pub enum ClientAction {
     /// Hands a job in; the specification has no team yet.
     Submit(Result<JobSpec, Box<str>>),
-    /// Asks for a job's or, at a queue's prefix, for the queue's state.
+    /// Asks for a job's or, where no job is named, for the queue's state.
     Show,
     /// Cancels a job.
     Cancel,
 }
 
+/// Which queue a request is for, and which of its jobs.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ClientTarget {
+    /// The host and path that the caller named lead there.
+    Route {
+        /// The host.
+        host: Box<str>,
+        /// The queue's prefix, and a job's name after it.
+        path: Box<str>,
+    },
+    /// The caller named the queue.
+    Queue {
+        /// Its name.
+        queue: QueueId,
+        /// A job's name; nothing asks for the queue.
+        job: Box<str>,
+    },
+}
+
+impl fmt::Display for ClientTarget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Route { path, .. } => f.write_str(path),
+            Self::Queue { queue, job } => write!(f, "{queue}/{job}"),
+        }
+    }
+}
+
 /// A submitter's request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ClientCall {
     /// Names the request for its answer.
     pub token: RequestToken,
-    /// The host that the caller named.
-    pub host: Box<str>,
-    /// The path.
-    pub path: Box<str>,
+    /// What it is about.
+    pub target: ClientTarget,
     /// The key that it showed.
     pub key: Option<Box<str>>,
     /// How long the caller waits.
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -82,7 +82,7 @@
         call: ClientCall,
     ) {
         let token = call.token;
-        let id: Box<str> = call.path.clone();
+        let id: Box<str> = call.target.to_string().into();
         if let Some(answer) = self.decide(clock, out, shared, call) {
             answered(out, token, &id, shared, answer);
         }
@@ -99,7 +99,7 @@
         let Some(config) = shared.config.as_ref().filter(|_| shared.is_loaded()) else {
             return Some(ClientAnswer::NotDone { retry_after: RETRY_AFTER });
         };
-        let Some((queue, rest)) = config.route(&call.host, &call.path) else {
+        let Some((queue, rest)) = config.target(&call.target) else {
             return Some(ClientAnswer::NoQueue);
         };
         let team = call.key.as_deref().and_then(|key| config.team_of_key(key));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -37,7 +37,8 @@
 
 pub use crate::core::FleetCore;
 pub use event::{
-    CallId, ClientAction, ClientAnswer, ClientCall, Clock, Effect, Event, RequestToken,
+    CallId, ClientAction, ClientAnswer, ClientCall, ClientTarget, Clock, Effect, Event,
+    RequestToken,
 };
 pub use key::{DutyKey, KeyScope, OwnKey, StoreKey};
 pub use outbox::DecisionLine;
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use state::{DaemonId, DataCentreId, Incarnation, Millis, MinionId, PoolId, QueueId, TeamId, VmId};
 
+use crate::event::ClientTarget;
+
 /// What a daemon is told at its start about itself and the platform's bounds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FleetSettings {
@@ -93,6 +95,14 @@
         Some((queue, &path[queue.prefix.len()..]))
     }
 
+    /// The queue of a request, and the name of the job that it is about.
+    pub fn target<'a>(&'a self, target: &'a ClientTarget) -> Option<(&'a QueueConfig, &'a str)> {
+        match target {
+            ClientTarget::Route { host, path } => self.route(host, path),
+            ClientTarget::Queue { queue, job } => Some((self.queue(queue)?, job)),
+        }
+    }
+
     /// A queue by its name.
     pub fn queue(&self, name: &QueueId) -> Option<&QueueConfig> {
         self.queues.iter().find(|queue| queue.queue == *name)
--- a/crates/fleet/src/pool/need.rs
+++ b/crates/fleet/src/pool/need.rs
@@ -9,7 +9,7 @@
 
 use std::collections::BTreeSet;
 
-use jobs::{StepSpec, TaskMark};
+use jobs::TaskMark;
 use state::{Millis, MinionId, Moment, Revision, VmId};
 
 use super::job::OwnedJob;
@@ -112,8 +112,11 @@
         }
         let work: u64 = self.jobs.values().map(open_work).sum();
         let since_ms = context.clock.wall_ms.saturating_sub(RATE_SPAN_MS);
-        let new_jobs = self.jobs.values().filter(|job| job.accepted_ms > since_ms);
-        let new_work: u64 = new_jobs.map(whole_work).sum();
+        let is_new = |job: &&OwnedJob| {
+            job.accepted_ms > since_ms && !job.spec.is_lasting() && job.spec.timetable.is_none()
+        };
+        let new_jobs = self.jobs.values().filter(is_new);
+        let new_work: u64 = new_jobs.map(|job| job.spec.estimated_work()).sum();
         let needed = (work / WORK_SPAN_MS).max(new_work / RATE_SPAN_MS) + lasting;
         let wanted = needed.saturating_sub(room).div_ceil(of_vm).min(MOST_WANTED);
         let kept = (needed * KEPT_PERCENT / 100).div_ceil(of_vm);
@@ -246,16 +249,6 @@
     rooms.max().unwrap_or(0)
 }
 
-/// Work of a job by its estimates, in thousandths of a core times milliseconds.
-fn whole_work(job: &OwnedJob) -> u64 {
-    if job.spec.is_lasting() || job.spec.timetable.is_some() {
-        return 0;
-    }
-    let of_step =
-        |step: &StepSpec| u64::from(step.tasks) * step.needs.processor.0 * step.estimate.0;
-    job.spec.steps.iter().map(of_step).sum()
-}
-
 /// Work of a job that is not done, by its estimates, in thousandths of a core times
 /// milliseconds; steps whose turn has not come count half, because they come later.
 fn open_work(job: &OwnedJob) -> u64 {
--- a/crates/fleet/tests/rules/world.rs
+++ b/crates/fleet/tests/rules/world.rs
@@ -12,13 +12,13 @@
 };
 use fleet::model::{FleetConfig, FleetSettings, MinionReport, WaveOrder};
 use fleet::{
-    CallId, ClientAction, ClientAnswer, ClientCall, Clock, Effect, Event, FleetCore, RequestToken,
-    StoreKey,
+    CallId, ClientAction, ClientAnswer, ClientCall, ClientTarget, Clock, Effect, Event, FleetCore,
+    RequestToken, StoreKey,
 };
 use jobs::{JobSpec, TaskName};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use state::{DataCentreId, Incarnation, JobId, Millis, MinionId, Moment, TeamId, VmId};
+use state::{DataCentreId, Incarnation, JobId, Millis, MinionId, Moment, QueueId, TeamId, VmId};
 
 use crate::checker::{Breach, RuleChecker, SeenJob};
 use crate::cloud::{CloudFact, FakeCloud, FakeVm};
--- a/crates/fleet/tests/rules/world/submitters.rs
+++ b/crates/fleet/tests/rules/world/submitters.rs
@@ -29,6 +29,12 @@
         }
     }
 
+    fn queue_of(&self, job: &JobId) -> QueueId {
+        let pool = &self.checker.jobs[job].pool;
+        let queue = self.config.queues.iter().find(|queue| queue.pool == *pool);
+        queue.expect("a queue").queue.clone()
+    }
+
     pub(super) fn ask(&mut self, job: &JobId, ask: Ask) {
         let (host, path, key) = self.paths[job].clone();
         let up: Vec<usize> = (0..self.daemons.len()).filter(|daemon| self.is_up(*daemon)).collect();
@@ -45,7 +51,12 @@
             Ask::Cancel => ClientAction::Cancel,
         };
         let patience = Millis(PATIENCE);
-        let call = ClientCall { token, host, path, key, patience, action };
+        // Every other request names its queue.
+        let target = match token.0 % 2 {
+            0 => ClientTarget::Route { host, path },
+            _ => ClientTarget::Queue { queue: self.queue_of(job), job: job.as_str().into() },
+        };
+        let call = ClientCall { token, target, key, patience, action };
         self.asks.insert(token, (job.clone(), ask, self.now));
         if ask == Ask::Submit {
             // Until the answer says otherwise it may have been accepted.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,9 +15,11 @@
 mod resources;
 mod spec;
 mod task;
+mod text;
 
 pub use outcome::{JobOutcome, JobPhase};
 pub use progress::{JobProgress, TaskMark};
 pub use resources::Resources;
 pub use spec::{AcceptedJob, GraphFault, JobSpec, StepSpec, Timetable};
 pub use task::{NameFault, RunNumber, TaskName};
+pub use text::{JobTextFault, parse_job};
--- a/crates/jobs/src/resources.rs
+++ b/crates/jobs/src/resources.rs
@@ -3,17 +3,18 @@
 use serde::{Deserialize, Serialize};
 use state::{AcceleratorCount, Mebibytes, Millicores};
 
-/// Processor, memory and accelerators together.
+/// Processor, memory and accelerators together. Records have one letter a part, a
+/// submitter's file the whole word.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Resources {
     /// Processor time a second.
-    #[serde(rename = "c", default)]
+    #[serde(rename = "c", alias = "processor", default)]
     pub processor: Millicores,
     /// Memory.
-    #[serde(rename = "m", default)]
+    #[serde(rename = "m", alias = "memory", default)]
     pub memory: Mebibytes,
     /// Accelerators.
-    #[serde(rename = "g", default)]
+    #[serde(rename = "g", alias = "accelerators", default)]
     pub accelerators: AcceleratorCount,
 }
 
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -71,6 +71,7 @@
     /// The steps; each refers to earlier ones only.
     pub steps: Vec<StepSpec>,
     /// When the steps run more than once.
+    #[serde(default)]
     pub timetable: Option<Timetable>,
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,5 +1,5 @@
 //! What goes over the wire: outcomes to callers, the control interface, the
-//! platform's and the workers' interfaces, and frames between daemons.
+//! platform's and the workers' interfaces, queues, and frames between daemons.
 //!
 //! This crate only turns values into bytes and back. The forms towards callers
 //! and operators are documented in `docs/INTERFACE.md`.
@@ -8,6 +8,7 @@
 mod outcome;
 mod peer;
 mod platform;
+mod queue;
 mod worker;
 
 pub use control::{ChangeBody, ControlReply, JobBody, PathError, control_reply, control_request};
@@ -19,6 +20,7 @@
 pub use platform::{
     ChangesBody, PlatformCall, PutBody, RebootBody, VmsBody, platform_answer, platform_call,
 };
+pub use queue::{QueueCallFault, QueueHead, QueueReply, queue_call, queue_fault, queue_reply};
 pub use worker::{
     PollBody, StartBody, StopBody, TasksBody, WorkerCall, worker_answer, worker_call,
 };
--- /dev/null
+++ b/crates/protocol/tests/queue.rs
@@ -0,0 +1,51 @@
+//! Requests for queues, and the answers to them.
+
+use fleet::{ClientAnswer, RequestToken};
+use jobs::JobPhase;
+use protocol::{QueueCallFault, QueueHead, queue_call, queue_fault, queue_reply};
+use rstest::rstest;
+use state::Millis;
+
+const JOB: &str = r#"{ "payload": "x", "steps": [{ "tasks": 2 }] } // two tasks"#;
+
+#[rstest]
+#[case("submit", "PUT", "/queues/labels/1f", JOB)]
+#[case("submit_broken", "PUT", "/queues/labels/1f", "{")]
+#[case("show_job", "GET", "/queues/labels/1f?now", "")]
+#[case("show_queue", "GET", "/queues/labels", "")]
+#[case("cancel", "DELETE", "/queues/labels/1f", "")]
+fn requests(#[case] name: &str, #[case] method: &str, #[case] url: &str, #[case] body: &str) {
+    let head = QueueHead { method, url, authorization: Some("Bearer key-1") };
+    let call = queue_call(RequestToken(1), head, body.as_bytes());
+    insta::assert_debug_snapshot!(format!("queue_call_{name}"), call);
+}
+
+#[rstest]
+#[case("GET", "/queue/labels", QueueCallFault::Path)]
+#[case("GET", "/queues/", QueueCallFault::Path)]
+#[case("GET", "/queues/no such name", QueueCallFault::Path)]
+#[case("POST", "/queues/labels/1f", QueueCallFault::Method)]
+fn other_requests_are_refused(
+    #[case] method: &str,
+    #[case] url: &str,
+    #[case] fault: QueueCallFault,
+) {
+    let head = QueueHead { method, url, authorization: None };
+    assert_eq!(queue_call(RequestToken(1), head, b""), Err(fault));
+    assert!(queue_fault(fault).status >= 400);
+}
+
+#[rstest]
+#[case("accepted", ClientAnswer::Accepted)]
+#[case("phase", ClientAnswer::Phase(JobPhase::Active))]
+#[case("cancelled", ClientAnswer::Cancelled)]
+#[case("no_job", ClientAnswer::NoJob)]
+#[case("pending", ClientAnswer::Pending(12))]
+#[case("no_queue", ClientAnswer::NoQueue)]
+#[case("bad_key", ClientAnswer::BadKey)]
+#[case("malformed", ClientAnswer::Malformed("a reason".into()))]
+#[case("not_done", ClientAnswer::NotDone { retry_after: Millis(1_000) })]
+#[case("unknown", ClientAnswer::Unknown)]
+fn answers(#[case] name: &str, #[case] answer: ClientAnswer) {
+    insta::assert_debug_snapshot!(format!("queue_reply_{name}"), queue_reply(&answer));
+}
