--- a/crates/fleet/tests/rules/runs.rs
+++ b/crates/fleet/tests/rules/runs.rs
@@ -181,19 +181,36 @@
     Trouble::AllKilled,
 ];
 
-/// Jobs enough that their ends need several commits.
-fn hand_in_many(world: &mut World) {
-    for number in 0..30u64 {
+/// Like jobs of one step for the first queue.
+struct JobRow {
+    jobs: u64,
+    tasks: u32,
+    processor: Millicores,
+    /// Time from now to the first one.
+    after: u64,
+    /// Time from each to the next.
+    gap: u64,
+}
+
+fn hand_in(world: &mut World, row: &JobRow) {
+    for number in 0..row.jobs {
         let (team, mut spec) = job(world, false);
         spec.steps.truncate(1);
-        spec.steps[0].tasks = 2;
-        // All of them together are done well before the run's end.
-        spec.steps[0].needs.processor = Millicores(300);
+        spec.steps[0].tasks = row.tasks;
+        spec.steps[0].needs.processor = row.processor;
         let name = format!("{:016x}", world.now * 100 + number).parse().expect("a name");
-        world.plan_job(0, name, PlannedJob { team, spec, queue: 0, cancel_after: None });
+        let planned = PlannedJob { team, spec, queue: 0, cancel_after: None };
+        world.plan_job(row.after + number * row.gap, name, planned);
     }
 }
 
+/// Jobs enough that their ends need several commits, and done well before the run's
+/// end.
+fn hand_in_many(world: &mut World) {
+    let processor = Millicores(300);
+    hand_in(world, &JobRow { jobs: 30, tasks: 2, processor, after: 0, gap: 0 });
+}
+
 /// Plays one trouble from `at` on, for some seconds; the world is calm after it.
 fn trouble(world: &mut World, kind: Trouble, at: u64) {
     world.run_until(at);
@@ -372,15 +389,8 @@
 #[test]
 fn spare_vms_come_for_a_turn_and_go_back() {
     let mut world = prepare(1);
-    for number in 0..40u64 {
-        let (team, mut spec) = job(&mut world, false);
-        spec.steps.truncate(1);
-        spec.steps[0].tasks = 8;
-        spec.steps[0].needs.processor = Millicores(2_000);
-        let name = format!("{:016x}", 0x9000 + number).parse().expect("a name");
-        let planned = PlannedJob { team, spec, queue: 0, cancel_after: None };
-        world.plan_job(6_000, name, planned);
-    }
+    let processor = Millicores(2_000);
+    hand_in(&mut world, &JobRow { jobs: 40, tasks: 8, processor, after: 6_000, gap: 0 });
     world.run_until(12_000);
     assert!(world.cloud.moves >= SPARE_VMS as u64, "{} moves", world.cloud.moves);
     world.run_until(RUN_END);
@@ -394,16 +404,9 @@
 fn spare_vms_come_before_work_piles_up() {
     let mut world = prepare(1);
     // 85 cores of work a second, of which 64 can be done.
-    for number in 0..24u64 {
-        let (team, mut spec) = job(&mut world, false);
-        spec.steps.truncate(1);
-        spec.steps[0].tasks = 5;
-        spec.steps[0].needs.processor = Millicores(2_000);
-        let name = format!("{:016x}", 0x9000 + number).parse().expect("a name");
-        let planned = PlannedJob { team, spec, queue: 0, cancel_after: None };
-        world.plan_job(5_000 + number * 118, name, planned);
-    }
-    // The work of this time alone is more than half of what a second can do.
+    let processor = Millicores(2_000);
+    hand_in(&mut world, &JobRow { jobs: 24, tasks: 5, processor, after: 5_000, gap: 118 });
+    // The first came at 6 s; by the work that waits a VM was moved after 755 ms.
     world.run_until(6_000 + 700);
     assert!(world.cloud.moves >= 1, "no VM was moved");
 }
