Metrics and log lines that tell a slow decision from a slow call

Adds: duration of each step by kind of event, delay of ticks, length of the store's answers, a warning with both when ticks are late (once a second at most), and a line when a renewal is answered with less than a second of the lease left. No decision changes.

--- a/crates/daemon/src/runtime/host.rs
+++ b/crates/daemon/src/runtime/host.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use crossbeam::channel::Sender;
 use fleet::io::{CloudAnswer, CloudCall, MinionCall, MinionTarget, StoreCall};
@@ -18,7 +18,8 @@
 use tiny_http::Request;
 use transport::CallSender;
 
-use super::metrics::MetricsRegistry;
+use super::delay::StepTotals;
+use super::metrics::{MetricsRegistry, event_label};
 
 /// Writes an answer to a request in the caller's protocol.
 pub type AnswerWriter = fn(Request, &ClientAnswer);
@@ -43,6 +44,8 @@
     is_ready: AtomicBool,
     /// Metrics that the internal address serves.
     pub metrics: MetricsRegistry,
+    /// Steps since the last report of the tick monitor.
+    pub step_totals: StepTotals,
 }
 
 impl FleetHost {
@@ -62,6 +65,7 @@
             last_token: AtomicU64::new(0),
             is_ready: AtomicBool::new(false),
             metrics: MetricsRegistry::default(),
+            step_totals: StepTotals::default(),
         }
     }
 
@@ -110,13 +114,18 @@
     /// answers to submitters are sent after the lock is released.
     pub fn post(self: &Arc<Self>, event: Event) {
         let mut replies = Vec::new();
+        let kind = event_label(&event);
         {
             let mut core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
+            let step_start = Instant::now();
             let clock = Clock { now: read_clock(), wall_ms: read_wall_clock_ms() };
             for effect in core.step(clock, event) {
                 self.apply_effect(effect, &mut replies);
             }
             self.is_ready.store(core.is_ready(), Ordering::Relaxed);
+            let step_duration = step_start.elapsed();
+            self.metrics.record_step(kind, step_duration);
+            self.step_totals.add_step(step_duration);
         }
         for (token, answer) in replies {
             self.send_answer(token, &answer);
@@ -152,6 +161,9 @@
         let sent_at = read_clock();
         let encoded_call = platform::encode_store_call(self.settings().store_address, &request);
         self.call_sender.send(encoded_call, move |answer| {
+            if let Ok(response) = &answer {
+                host.metrics.record_store_answer_length(&request, response.body.len());
+            }
             let answer = platform::decode_store_answer(&request, answer);
             host.metrics.record_store_answer(&request, &answer, read_clock() - sent_at);
             host.post(Event::Store(call, answer));
--- a/crates/daemon/src/runtime/metrics.rs
+++ b/crates/daemon/src/runtime/metrics.rs
@@ -4,9 +4,10 @@
 //! each with its latency, and also decisions and dropped log lines.
 
 use std::fmt::Write;
+use std::time::Duration;
 
 use fleet::io::{MinionAnswer, MinionCall, StoreAnswer, StoreCall};
-use fleet::{ClientAnswer, DecisionLine};
+use fleet::{ClientAnswer, DecisionLine, Event};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -26,26 +27,39 @@
     outcome: &'static str,
 }
 
-type LatencyFamily = Family<KindLabel, Histogram, fn() -> Histogram>;
+type HistogramFamily = Family<KindLabel, Histogram, fn() -> Histogram>;
 
 /// Creates a histogram whose bucket bounds double from 1 ms to 4 s.
 fn new_latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(0.001, 2.0, 13))
 }
 
-fn new_latency_family() -> LatencyFamily {
+fn new_latency_family() -> HistogramFamily {
     Family::new_with_constructor(new_latency_histogram)
 }
 
+/// Creates a histogram of step durations, whose bucket bounds double from 25 µs to 0.2 s.
+fn new_step_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_025, 2.0, 14))
+}
+
+/// Creates a histogram of answer lengths, whose bucket bounds grow fourfold from 256 B to 4 MiB.
+fn new_length_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(256.0, 4.0, 8))
+}
+
 /// All metrics of the daemon, with the prefix `pollenfall`.
 pub struct MetricsRegistry {
     registry: Registry,
     answers: Family<OutcomeLabels, Counter>,
-    answer_seconds: LatencyFamily,
+    answer_seconds: HistogramFamily,
     store_calls: Family<OutcomeLabels, Counter>,
-    store_seconds: LatencyFamily,
+    store_seconds: HistogramFamily,
+    store_answer_bytes: HistogramFamily,
+    step_seconds: HistogramFamily,
+    tick_late_seconds: Histogram,
     orders: Family<OutcomeLabels, Counter>,
-    order_seconds: LatencyFamily,
+    order_seconds: HistogramFamily,
     decisions: Family<KindLabel, Counter>,
     /// Decision lines dropped because the log channel was full.
     pub dropped_lines: Counter,
@@ -59,6 +73,9 @@
             answer_seconds: new_latency_family(),
             store_calls: Family::default(),
             store_seconds: new_latency_family(),
+            store_answer_bytes: Family::new_with_constructor(new_length_histogram),
+            step_seconds: Family::new_with_constructor(new_step_histogram),
+            tick_late_seconds: new_latency_histogram(),
             orders: Family::default(),
             order_seconds: new_latency_family(),
             decisions: Family::default(),
@@ -77,6 +94,21 @@
             "From a call to the store to its answer",
             metrics.store_seconds.clone(),
         );
+        registry.register(
+            "store_answer_bytes",
+            "Length of the store's complete answers",
+            metrics.store_answer_bytes.clone(),
+        );
+        registry.register(
+            "step_seconds",
+            "Duration of a step of the state machine with its effects",
+            metrics.step_seconds.clone(),
+        );
+        registry.register(
+            "tick_late_seconds",
+            "Delay of a clock tick beyond the tick interval",
+            metrics.tick_late_seconds.clone(),
+        );
         registry.register("orders", "Orders to minions", metrics.orders.clone());
         registry.register(
             "order_seconds",
@@ -131,6 +163,22 @@
         self.store_seconds.get_or_create(&KindLabel { kind }).observe(to_seconds(duration));
     }
 
+    /// Records the length in bytes of a complete answer of the store.
+    pub fn record_store_answer_length(&self, call: &StoreCall, length: usize) {
+        let label = KindLabel { kind: store_call_label(call) };
+        self.store_answer_bytes.get_or_create(&label).observe(length as f64);
+    }
+
+    /// Records how long the state machine and its effects took for an event of this kind.
+    pub fn record_step(&self, kind: &'static str, duration: Duration) {
+        self.step_seconds.get_or_create(&KindLabel { kind }).observe(duration.as_secs_f64());
+    }
+
+    /// Records by how much a clock tick was later than the tick interval.
+    pub fn record_tick_delay(&self, delay: Duration) {
+        self.tick_late_seconds.observe(delay.as_secs_f64());
+    }
+
     pub fn record_order_answer(&self, order: &MinionCall, answer: &MinionAnswer, duration: Millis) {
         let kind = match order {
             MinionCall::Start { .. } => "start",
@@ -153,6 +201,18 @@
     }
 }
 
+/// Returns the metric label of an event's kind.
+pub fn event_label(event: &Event) -> &'static str {
+    match event {
+        Event::Tick => "tick",
+        Event::Client(_) => "client",
+        Event::Store(..) => "store",
+        Event::Minion(..) => "minion",
+        Event::Cloud(..) => "cloud",
+        Event::Stop => "stop",
+    }
+}
+
 fn answer_label(answer: &ClientAnswer) -> &'static str {
     match answer {
         ClientAnswer::Accepted => "accepted",
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -6,6 +6,7 @@
 //! and counted when the channel is full (`docs/PLATFORM.md`, "Programs").
 
 mod decision_log;
+mod delay;
 mod host;
 mod metrics;
 mod probes;
@@ -22,6 +23,7 @@
 use platform::{PlatformSettings, SETTINGS_VARIABLE, parse_settings};
 use state::Incarnation;
 
+use delay::TickMonitor;
 use host::FleetHost;
 
 /// Path of the settings file when the environment variable [`SETTINGS_VARIABLE`] is not set.
@@ -62,9 +64,10 @@
     let host_settings = settings.clone();
     let call_thread = std::thread::Builder::new().name("calls".into()).spawn(move || {
         let host = std::cell::OnceCell::new();
+        let mut tick_monitor = TickMonitor::new(TICK_INTERVAL);
         transport::run_call_client(
             TICK_INTERVAL,
-            || post_tick(&host),
+            || post_tick(&host, &mut tick_monitor),
             |call_sender| {
                 let new_host = Arc::new(FleetHost::new(
                     host_settings,
@@ -90,8 +93,9 @@
     Ok(())
 }
 
-fn post_tick(host: &std::cell::OnceCell<Arc<FleetHost>>) {
-    if let Some(host) = host.get() {
-        host.post(fleet::Event::Tick);
-    }
+/// Posts a clock tick and records by how much it came late.
+fn post_tick(host: &std::cell::OnceCell<Arc<FleetHost>>, tick_monitor: &mut TickMonitor) {
+    let Some(host) = host.get() else { return };
+    tick_monitor.on_tick(&host.step_totals, &host.metrics);
+    host.post(fleet::Event::Tick);
 }
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -22,8 +22,8 @@
 use crate::records::{OwnerRecord, encode};
 use crate::shared::SharedRecords;
 use crate::timing::{
-    ACQUIRE_DELAY_STEP, COMMIT_RETRY_DELAY, SESSION_RENEWAL_INTERVAL, SESSION_SAFETY_MARGIN,
-    SESSION_TTL,
+    ACQUIRE_DELAY_STEP, COMMIT_RETRY_DELAY, LATE_RENEWAL_MARGIN, SESSION_RENEWAL_INTERVAL,
+    SESSION_SAFETY_MARGIN, SESSION_TTL,
 };
 
 /// Store calls of [`Session`].
@@ -234,8 +234,13 @@
         match answer {
             StoreAnswer::Leased(id, ttl) => {
                 let validity = Millis(ttl.0.saturating_sub(SESSION_SAFETY_MARGIN.0));
-                if self.lease.is_none() {
-                    out.log("session", id.0, format!("lease duration {ttl}"), "opened");
+                let valid_before = self.lease.map(|lease| lease.valid_until);
+                match valid_before {
+                    None => out.log("session", id.0, format!("lease duration {ttl}"), "opened"),
+                    Some(valid_until) if valid_until <= clock.now + LATE_RENEWAL_MARGIN => {
+                        log_late_renewal(clock, out, id, sent_at, valid_until);
+                    }
+                    Some(_) => {}
                 }
                 self.lease = Some(Lease { id, valid_until: sent_at + validity });
                 self.next_call_at = clock.now + SESSION_RENEWAL_INTERVAL;
@@ -249,3 +254,17 @@
         }
     }
 }
+
+/// Logs a renewal that was answered when the lease was about to end or had ended.
+fn log_late_renewal(
+    clock: Clock,
+    out: &mut Outbox,
+    id: LeaseId,
+    sent_at: Moment,
+    valid_until: Moment,
+) {
+    let remaining_ms = valid_until.0 as i64 - clock.now.0 as i64;
+    let inputs =
+        format!("answered after {}, {remaining_ms}ms of the lease were left", clock.now - sent_at);
+    out.log("session", id.0, inputs, "renewed late");
+}
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -10,6 +10,8 @@
 /// Part of the lease that is left unused, to allow for clock differences and late
 /// orders.
 pub(crate) const SESSION_SAFETY_MARGIN: Millis = Millis(400);
+/// Remaining validity of the lease at or below which a renewal is logged as late.
+pub(crate) const LATE_RENEWAL_MARGIN: Millis = Millis(1_000);
 /// Maximum duration that a watch call waits for a change; it bounds the time until an
 /// unresponsive connection is detected.
 pub(crate) const MAX_WATCH_WAIT: Millis = Millis(5_000);
