Saved end numbers advance with each commit, not only when nothing else is unsaved

Cause: the roster, which tells minions which finished runs are saved, was written only by a commit that held every changed job. A commit holds some seven jobs. While more change than that between two commits, no roster is written: no finished run is acknowledged, a minion with unsaved runs is asked only once a second, new minions are not used, and each answer lists all of it again. Change: processed finished runs are kept by minion with their jobs; each commit writes for each minion the number before the first run whose job is unsaved.

--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -10,6 +10,7 @@
 use jobs::{Resources, RunNumber, TaskName};
 use state::{Millis, Moment, TeamId};
 
+use super::unsaved::UnsavedEnds;
 use crate::model::MinionReport;
 use crate::timing::{CLOCK_ERROR_PERMILLE, CONTACT_VALIDITY};
 
@@ -69,6 +70,8 @@
     pub(super) used: Resources,
     /// Highest number of a finished run that was processed.
     pub(super) processed_end: u64,
+    /// Finished runs that were processed and are not saved.
+    pub(super) unsaved_ends: UnsavedEnds,
     /// Highest number of a finished run that is saved in the store.
     pub(super) saved_end: u64,
     /// Highest number up to which the minion has been told to drop its finished runs.
@@ -101,6 +104,7 @@
             runs: BTreeMap::new(),
             used: Resources::default(),
             processed_end: saved_end,
+            unsaved_ends: UnsavedEnds::default(),
             saved_end,
             acknowledged_end: saved_end,
             is_hold_in_flight: false,
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -24,6 +24,7 @@
 mod placement;
 mod save;
 mod throttle;
+mod unsaved;
 
 use std::collections::BTreeMap;
 
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -3,14 +3,16 @@
 //! Each commit expects the pool's ownership record, so that a former owner cannot write,
 //! and the revision of each record that it changes, so that a commit that is carried out
 //! late changes nothing. The roster holds the number of the last saved finished run of each
-//! minion. The commit that saves the last of the changed jobs writes the roster too, so
-//! that each finished run is counted exactly once.
+//! minion. Each commit also advances these numbers as far as the jobs of the finished runs
+//! are saved, so that minions drop their finished runs even while more jobs change than a
+//! commit holds.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use jobs::{JobOutcome, JobPhase};
 use state::{JobId, MinionId, Moment, Revision};
 
+use super::minion::OwnedMinion;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{ItemValue, PutValue, StoreAnswer, StoreCall, StoreCommit, StoreItem, StorePut};
 use crate::key::{OwnKey, StoreKey};
@@ -114,16 +116,14 @@
         let mut commit = StoreCommit::default();
         let mut in_flight = InFlightSave { jobs: BTreeMap::new(), roster: None };
         commit.expect.push((self.owner_key(), self.fencing_token));
-        let mut includes_all_jobs = true;
         for job in dirty {
             if commit.rows() + MAX_ROWS_PER_JOB + OWNER_AND_ROSTER_ROWS > MAX_COMMIT_ROWS {
-                includes_all_jobs = false;
                 break;
             }
             let saved = self.add_job_writes(context.clock.now, &mut commit, &job);
             in_flight.jobs.insert(job, saved);
         }
-        if includes_all_jobs {
+        if self.save.is_roster_dirty || self.save.has_new_ends {
             let roster = self.build_roster();
             let key = self.pool_key(OwnKey::Roster);
             commit.expect.push((key.clone(), self.save.roster_revision));
@@ -131,7 +131,10 @@
             commit.puts.push(StorePut { key, value, lease: None });
             in_flight.roster = Some(roster);
             self.save.is_roster_dirty = false;
-            self.save.has_new_ends = false;
+            self.save.has_new_ends = self
+                .minions
+                .values()
+                .any(|minion| self.saveable_end(minion) < minion.processed_end);
         }
         self.save.in_flight = Some(in_flight);
         let purpose = self.purpose(PoolCall::Save);
@@ -147,7 +150,7 @@
                 let row = RosterRow {
                     address: minion.report.address,
                     minion_incarnation: minion.report.minion_incarnation,
-                    saved_end: minion.processed_end,
+                    saved_end: self.saveable_end(minion),
                 };
                 minions.insert(id.clone(), row);
             }
@@ -155,6 +158,15 @@
         PoolRoster { minions }
     }
 
+    /// Returns the number up to which a minion's finished runs are saved once the commit
+    /// that is being built has succeeded.
+    fn saveable_end(&self, minion: &OwnedMinion) -> u64 {
+        let has_unsaved_changes =
+            |job: &JobId| self.jobs.get(job).is_some_and(|job| job.is_progress_dirty);
+        let first_blocked = minion.unsaved_ends.first_blocked(has_unsaved_changes);
+        first_blocked.map_or(minion.processed_end, |number| number - 1)
+    }
+
     /// Adds the changes of a job to a commit and clears the job's dirty marks.
     fn add_job_writes(&mut self, now: Moment, commit: &mut StoreCommit, name: &JobId) -> SavedJob {
         let (job_key, progress_key, outcome_key) = self.job_keys(name);
@@ -234,6 +246,7 @@
             if minion.report.minion_incarnation == row.minion_incarnation {
                 minion.is_in_roster = true;
                 minion.saved_end = minion.saved_end.max(row.saved_end);
+                minion.unsaved_ends.remove_saved(minion.saved_end);
             }
         }
     }
--- a/crates/fleet/tests/rules/minion.rs
+++ b/crates/fleet/tests/rules/minion.rs
@@ -224,6 +224,11 @@
         (answer, minion_events)
     }
 
+    /// Returns the number of the last finished run of this incarnation.
+    pub fn finished_count(&self) -> u64 {
+        self.finished_count
+    }
+
     /// Whether the minion lists finished runs, so that a hold is answered at once.
     pub fn has_finished_runs(&self) -> bool {
         !self.ended.is_empty()
--- a/crates/fleet/tests/rules/seeded_runs.rs
+++ b/crates/fleet/tests/rules/seeded_runs.rs
@@ -32,7 +32,7 @@
 /// Virtual time at which a run ends, after a period without faults.
 const RUN_END_MS: u64 = 75_000;
 
-fn build_config() -> FleetConfig {
+pub(crate) fn build_config() -> FleetConfig {
     let mut pools = BTreeMap::new();
     let mut queues = Vec::new();
     for pool in 0..POOL_COUNT {
@@ -66,7 +66,7 @@
     FleetConfig { version: 1, queues, pools, teams: vec![team(0), team(1)] }
 }
 
-fn build_report(pool: usize, number: usize) -> MinionReport {
+pub(crate) fn build_report(pool: usize, number: usize) -> MinionReport {
     MinionReport {
         minion: format!("i-{pool}{number}").parse().expect("valid name"),
         minion_incarnation: 1 + number as u64,
@@ -101,7 +101,10 @@
 }
 
 /// Draws a job: one long-running step, or a chain of 1 to 3 steps.
-fn generate_job(simulation: &mut Simulation, is_long_running: bool) -> (TeamId, JobSpec) {
+pub(crate) fn generate_job(
+    simulation: &mut Simulation,
+    is_long_running: bool,
+) -> (TeamId, JobSpec) {
     let team = simulation.rng.random_range(0..2);
     let mut steps = vec![generate_step(simulation, Vec::new())];
     if is_long_running {
@@ -213,22 +216,22 @@
 ];
 
 /// Batch of jobs of one step for the first queue.
-struct JobBatch {
+pub(crate) struct JobBatch {
     /// Number of jobs.
-    jobs: u64,
+    pub(crate) jobs: u64,
     /// Number of tasks of each job.
-    tasks: u32,
+    pub(crate) tasks: u32,
     /// Processor demand of each task.
-    processor: Millicores,
+    pub(crate) processor: Millicores,
     /// Time from now to the first submission, in milliseconds.
-    first_delay: u64,
+    pub(crate) first_delay: u64,
     /// Time between two submissions, in milliseconds.
-    interval: u64,
+    pub(crate) interval: u64,
 }
 
 /// Plans the jobs of a batch. Each job is drawn at random, but has only one step, whose number
 /// of tasks and processor demand are those of the batch.
-fn submit_batch(simulation: &mut Simulation, batch: &JobBatch) {
+pub(crate) fn submit_batch(simulation: &mut Simulation, batch: &JobBatch) {
     for number in 0..batch.jobs {
         let (team, mut spec) = generate_job(simulation, false);
         spec.steps.truncate(1);
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -52,6 +52,8 @@
     /// Share of writes without an answer. Half of these writes are carried out at once,
     /// the others 1 to 6 s later.
     pub lost_write_probability: f64,
+    /// Additional time until the answer to a commit, in milliseconds.
+    pub commit_delay_ms: u64,
     /// Share of orders that get no answer and are carried out 2 to 12 s later.
     pub late_order_probability: f64,
     /// Share of runs that fail.
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -1,19 +1,19 @@
 //! Delivery of messages to daemons, store, minions and cloud, with the delays and losses of
 //! the active faults.
 
-use fleet::OwnKey;
+use fleet::io::{PutValue, StoreCommit};
+use fleet::{OwnKey, PoolRoster};
 
 use super::*;
 
-/// Whether a commit saves progress of jobs and leaves the saved end numbers of the minions,
-/// which stand in the roster, to a later commit.
-fn saves_progress_without_roster(request: &StoreCall) -> bool {
-    let StoreCall::Commit(commit) = request else { return false };
-    let has_key = |matches_key: fn(&OwnKey) -> bool| {
-        commit.puts.iter().any(|put| matches!(&put.key, StoreKey::Own(own) if matches_key(own)))
-    };
-    has_key(|own| matches!(own, OwnKey::Progress(..)))
-        && !has_key(|own| matches!(own, OwnKey::Roster(_)))
+/// Returns the roster that a commit writes.
+fn roster_of(commit: &StoreCommit) -> Option<PoolRoster> {
+    commit.puts.iter().find_map(|put| match (&put.key, &put.value) {
+        (StoreKey::Own(OwnKey::Roster(_)), PutValue::Own(bytes)) => {
+            Some(serde_json::from_slice(bytes).expect("the roster is readable"))
+        }
+        _ => None,
+    })
 }
 
 impl Simulation {
@@ -27,6 +27,23 @@
         self.schedule(delay, daemon, incarnation, Message::Answer(Box::new(event)));
     }
 
+    /// Whether a commit saves progress of jobs and leaves saved end numbers of minions, which
+    /// stand in the roster, to a later commit.
+    fn saves_progress_ahead_of_roster(&self, request: &StoreCall) -> bool {
+        let StoreCall::Commit(commit) = request else { return false };
+        let is_progress = |key: &StoreKey| matches!(key, StoreKey::Own(OwnKey::Progress(..)));
+        if !commit.puts.iter().any(|put| is_progress(&put.key)) {
+            return false;
+        }
+        let Some(roster) = roster_of(commit) else { return true };
+        roster.minions.iter().any(|(minion, row)| {
+            self.minions.get(minion).is_some_and(|fake| {
+                fake.report.minion_incarnation == row.minion_incarnation
+                    && row.saved_end < fake.finished_count()
+            })
+        })
+    }
+
     pub(super) fn is_store_unreachable(&self, daemon: usize) -> bool {
         self.faults.is_store_down || self.faults.disconnected_daemons.contains(&daemon)
     }
@@ -190,14 +207,16 @@
             println!("{} edge-{daemon} {call:?} {request:?}", self.now);
         }
         let answer = self.store.execute(self.now, &request);
-        if self.faults.kills_between_saves && saves_progress_without_roster(&request) {
+        if self.faults.kills_between_saves && self.saves_progress_ahead_of_roster(&request) {
             self.faults.kills_between_saves = false;
             self.kill_daemon(daemon);
         }
         match answer {
             Some(_) if is_lost => {}
             Some(answer) => {
-                let delay = self.rng.random_range(2..5);
+                let is_commit = matches!(request, StoreCall::Commit(_));
+                let commit_delay = if is_commit { self.faults.commit_delay_ms } else { 0 };
+                let delay = self.rng.random_range(2..5) + commit_delay;
                 self.schedule_answer(daemon, incarnation, delay, Event::Store(call, answer));
             }
             None => {
