Pools that are short of a team's limit take turns

What callers saw: LOST; a job with capacity free and its tenant under half of its maximum does not run (one of the users' reports reads like this; that it was this cause is not shown). Cause: a pool that was short never gave up what it had been allocated and did not use. Two pools that are both short, each with a part smaller than its next task, wait for each other for ever; small jobs still pass. Evidence: split_limit_does_not_block_all_pools::case_1 fails on the old code (LOST, both jobs unfinished after 60 s). Change: the order of turns is computed by each pool from the shared record (the pool that lacks least first, then by name). A short pool leaves free quota and its own idle part to the short pools before it. A pool without an owner has no turn. rebalance moved to a module of its own.

--- a/crates/fleet/src/pool/limits.rs
+++ b/crates/fleet/src/pool/limits.rs
@@ -11,10 +11,10 @@
 use jobs::Resources;
 use state::{Moment, PoolId, Revision, TeamId};
 
+use super::rebalance::{PoolNeeds, component_min, needs_write, rebalance};
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{ItemValue, PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
-use crate::key::{OwnKey, StoreKey};
-use crate::model::FleetConfig;
+use crate::key::{OwnKey, ShardKey, StoreKey};
 use crate::records::{AllocationDoc, PoolAllocation, decode, encode};
 use crate::timing::{COMMIT_RETRY_DELAY, MIN_ALLOCATION_INTERVAL};
 
@@ -83,82 +83,6 @@
     }
 }
 
-/// Computes the record in which this pool has claimed what it needs and given up what other
-/// pools need. The result equals `doc` if nothing changes. A pool with a shortfall also
-/// claims a quarter of the free quota as headroom.
-fn rebalance(
-    doc: &AllocationDoc,
-    pool: &PoolId,
-    config: &FleetConfig,
-    used: &BTreeMap<TeamId, Resources>,
-    requests: &BTreeMap<TeamId, Resources>,
-) -> AllocationDoc {
-    let mut next = doc.clone();
-    for team in &config.teams {
-        let allocations = next.teams.entry(team.team.clone()).or_default();
-        let own_allocation = allocations.get(pool).copied().unwrap_or_default();
-        let mut others_allocated = Resources::default();
-        let mut others_shortfall = Resources::default();
-        for (_, allocation) in allocations.iter().filter(|(other, _)| *other != pool) {
-            others_allocated = others_allocated.saturating_add(&allocation.allocated);
-            others_shortfall = others_shortfall
-                .saturating_add(&allocation.requested.saturating_sub(&allocation.allocated));
-        }
-        let used = used.get(&team.team).copied().unwrap_or_default();
-        let requested_total = requests.get(&team.team).copied().unwrap_or(used);
-        let free =
-            team.limit.saturating_sub(&others_allocated.saturating_add(&own_allocation.allocated));
-        let shortfall = requested_total.saturating_sub(&own_allocation.allocated);
-        let headroom = if shortfall == Resources::default() { shortfall } else { free.quarter() };
-        let after_claim = own_allocation
-            .allocated
-            .saturating_add(&component_min(&shortfall.saturating_add(&headroom), &free));
-        let unused = after_claim.saturating_sub(&used.component_max(&requested_total));
-        let still_free =
-            free.saturating_sub(&after_claim.saturating_sub(&own_allocation.allocated));
-        let after_transfer = after_claim
-            .saturating_sub(&component_min(&unused, &others_shortfall.saturating_sub(&still_free)));
-        // A limit that was lowered takes back only quota that is not in use.
-        let excess = others_allocated.saturating_add(&after_transfer).saturating_sub(&team.limit);
-        let allocation = after_transfer
-            .saturating_sub(&component_min(&excess, &after_transfer.saturating_sub(&used)));
-        let own_allocation = PoolAllocation { allocated: allocation, requested: requested_total };
-        if own_allocation == PoolAllocation::default() {
-            allocations.remove(pool);
-        } else {
-            allocations.insert(pool.clone(), own_allocation);
-        }
-    }
-    next.teams.retain(|_, by_pool| !by_pool.is_empty());
-    next
-}
-
-/// Returns the lower value of each resource.
-fn component_min(left: &Resources, right: &Resources) -> Resources {
-    Resources {
-        processor: left.processor.min(right.processor),
-        memory: left.memory.min(right.memory),
-        accelerators: left.accelerators.min(right.accelerators),
-    }
-}
-
-/// Whether the change justifies a write. Lower requests alone do not, unless they end a
-/// shortfall.
-fn needs_write(old: &AllocationDoc, new: &AllocationDoc, pool: &PoolId) -> bool {
-    let allocation_of = |doc: &AllocationDoc, team: &TeamId| {
-        doc.teams.get(team).and_then(|by_pool| by_pool.get(pool)).copied().unwrap_or_default()
-    };
-    let teams: BTreeSet<&TeamId> = old.teams.keys().chain(new.teams.keys()).collect();
-    teams.into_iter().any(|team| {
-        let (before, after) = (allocation_of(old, team), allocation_of(new, team));
-        let requests_more = !after.requested.fits_within(&before.requested)
-            && !after.requested.fits_within(&after.allocated);
-        let requests_less = !before.requested.fits_within(&before.allocated)
-            && after.requested.fits_within(&after.allocated);
-        before.allocated != after.allocated || requests_more || requests_less
-    })
-}
-
 impl PoolOwner {
     /// Updates the use and the allocations of each team, and writes the shared record if
     /// needed.
@@ -186,7 +110,10 @@
             let requested_total = requests.entry(team.clone()).or_default();
             *requested_total = requested_total.saturating_add(shortfall);
         }
-        let next = rebalance(&doc, &self.pool, config, &self.limits.used, &requests);
+        let needs = PoolNeeds { used: &self.limits.used, requested: &requests };
+        let owners = &context.shared.owners;
+        let has_owner = |pool: &PoolId| owners.contains_key(&ShardKey::Pool(pool.clone()));
+        let next = rebalance(&doc, &self.pool, config, needs, has_owner);
         // After an unknown result, the next write shows through its answer which record is
         // in force.
         if self.limits.pending_doc.is_none() && !needs_write(&doc, &next, &self.pool) {
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -22,6 +22,7 @@
 mod minion;
 mod orders;
 mod placement;
+mod rebalance;
 mod save;
 mod throttle;
 mod unsaved;
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -10,4 +10,5 @@
 mod saving;
 mod seeded_runs;
 mod simulation;
+mod stalled_allocations;
 mod store;
