A task over its team's limit claims no quota

What callers saw: nothing of a team runs while one of its jobs has a task larger than the team's limit. Cause: each placement pass counted the task as a shortfall, so its pool claimed all free quota of the team, which was never enough, and kept it. Evidence: task_over_the_limit_does_not_block_other_pools fails on the old code (left: Queued, Queued; right: Queued, Complete).

--- a/crates/fleet/src/pool/limits.rs
+++ b/crates/fleet/src/pool/limits.rs
@@ -6,7 +6,7 @@
 //! claims what is not allocated and records what it requests; pools with unused quota give
 //! it up to others. All of these changes are compare-and-swap writes of the one record.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use jobs::Resources;
 use state::{Moment, PoolId, Revision, TeamId};
@@ -27,8 +27,8 @@
     used: BTreeMap<TeamId, Resources>,
     /// Resources that the last placement pass could not get for each team.
     shortfall: BTreeMap<TeamId, Resources>,
-    /// Teams with a limit in the configuration.
-    limited_teams: BTreeSet<TeamId>,
+    /// Limits of the teams in the configuration.
+    team_limits: BTreeMap<TeamId, Resources>,
     /// Whether a write is not answered yet.
     is_write_in_flight: bool,
     /// Earliest time of the next write.
@@ -46,11 +46,14 @@
     }
 
     /// Whether the team's allocation allows `additional` resources in this pool. If not,
-    /// `additional` is added to the team's shortfall.
+    /// `additional` is added to the team's shortfall, unless it exceeds the whole limit: no
+    /// allocation would ever be enough, and other pools could not use what this pool claims.
     pub(super) fn has_capacity(&mut self, team: Option<&TeamId>, additional: &Resources) -> bool {
-        let Some(team) = team.filter(|team| self.limited_teams.contains(*team)) else {
-            return true;
-        };
+        let Some(team) = team else { return true };
+        let Some(limit) = self.team_limits.get(team) else { return true };
+        if !additional.fits_within(limit) {
+            return false;
+        }
         let used = self.used.get(team).copied().unwrap_or_default();
         let allocation = self.allocations.get(team).copied().unwrap_or_default();
         if used.saturating_add(additional).fits_within(&allocation) {
@@ -92,7 +95,8 @@
             return;
         }
         let Some(config) = context.shared.config.as_ref() else { return };
-        self.limits.limited_teams = config.teams.iter().map(|team| team.team.clone()).collect();
+        self.limits.team_limits =
+            config.teams.iter().map(|team| (team.team.clone(), team.limit)).collect();
         self.limits.used = self.used_by_team();
         let shared = context.shared.allocations.as_ref();
         let shared = shared.map_or((AllocationDoc::default(), Revision(0)), |allocations| {
--- a/crates/fleet/tests/rules/stalled_allocations.rs
+++ b/crates/fleet/tests/rules/stalled_allocations.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use fleet::model::{FleetConfig, MinionReport, PoolConfig, QueueConfig, TeamConfig};
-use jobs::{JobSpec, Resources, StepSpec};
+use jobs::{JobPhase, JobSpec, Resources, StepSpec};
 use rstest::rstest;
 use state::{AcceleratorCount, Mebibytes, Millicores, Millis};
 
@@ -116,3 +116,25 @@
     simulation.checker.check_final_state(simulation.now);
     assert_eq!(simulation.checker.violations, Vec::new());
 }
+
+/// Guards against a task that exceeds its team's limit and makes its pool claim all of the
+/// limit, so that no other task of the team runs.
+#[test]
+fn task_over_the_limit_does_not_block_other_pools() {
+    let limit = processor_and_memory(6_000, 64_000);
+    let mut simulation = Simulation::new(1, DAEMON_COUNT, build_config(limit));
+    for pool in 0..POOL_COUNT {
+        simulation.add_minion(build_report(pool));
+    }
+    simulation.run_until(SETTLING_MS);
+    let demands = [processor_and_memory(7_000, 500), processor_and_memory(4_000, 500)];
+    for (queue, demand) in demands.into_iter().enumerate() {
+        let name = format!("{:016x}", 0x1000 + queue).parse().expect("valid name");
+        let team = "team-0".parse().expect("valid name");
+        let planned = PlannedJob { team, spec: build_chain(&[demand]), queue, cancel_after: None };
+        simulation.plan_job(100 + 200 * queue as u64, name, planned);
+    }
+    simulation.run_until(RUN_END_MS);
+    let phases: Vec<_> = simulation.checker.jobs.values().map(|job| job.phase).collect();
+    assert_eq!(phases, [Some(JobPhase::Queued), Some(JobPhase::Complete)]);
+}
