--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -63,6 +63,12 @@
         self.stopping_since.is_none() && self.shared.is_loaded() && self.shared.config.is_some()
     }
 
+    /// Returns how many jobs, minions and runs this daemon has examined as the owner of
+    /// pools. The work of an owner grows with this number.
+    pub fn placement_checks(&self) -> u64 {
+        self.out.checks()
+    }
+
     /// Processes one event and returns the effects that the caller carries out.
     pub fn step(&mut self, clock: Clock, event: Event) -> Vec<Effect> {
         match event {
--- a/crates/fleet/src/outbox.rs
+++ b/crates/fleet/src/outbox.rs
@@ -45,6 +45,8 @@
     effects: Vec<Effect>,
     open_calls: BTreeMap<CallId, (CallPurpose, Moment)>,
     last_call_number: u64,
+    /// Number of jobs, minions and runs that pools' owners have examined.
+    checks: u64,
 }
 
 impl Outbox {
@@ -58,6 +60,14 @@
         self.open_calls.remove(&call)
     }
 
+    pub(crate) fn count_checks(&mut self, checks: u64) {
+        self.checks += checks;
+    }
+
+    pub(crate) fn checks(&self) -> u64 {
+        self.checks
+    }
+
     fn open_call(&mut self, clock: Clock, purpose: CallPurpose) -> CallId {
         self.last_call_number += 1;
         let call = CallId(self.last_call_number);
--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -400,6 +400,7 @@
 
     /// Opens the steps of timetabled jobs that have become due.
     pub(super) fn open_due_steps(&mut self, context: &mut StepContext) {
+        self.work.add(self.jobs.len());
         for job in self.jobs.values_mut() {
             if job.spec.timetable.is_some() {
                 job.open_steps(context.clock.wall_ms);
--- a/crates/fleet/src/pool/demand.rs
+++ b/crates/fleet/src/pool/demand.rs
@@ -106,6 +106,7 @@
     /// Returns the number of VMs to request besides the present ones, and the number to
     /// retain.
     fn compute_demand(&self, context: &StepContext) -> (u32, usize) {
+        self.work.add(self.minions.len() + self.jobs.len());
         let usable = self.minions.values().filter(|minion| {
             minion.is_listed
                 && !minion.is_being_drained
--- a/crates/fleet/src/pool/failures.rs
+++ b/crates/fleet/src/pool/failures.rs
@@ -47,6 +47,7 @@
 
     /// Returns the minions whose failures are not yet certain to count.
     pub(super) fn minions_with_uncertain_failures(&self) -> BTreeSet<MinionId> {
+        self.work.add(self.jobs.len());
         let failures = self.jobs.values().flat_map(|job| &job.failures);
         failures.map(|failure| failure.details.minion.clone()).collect()
     }
@@ -67,6 +68,7 @@
                 && details.minion_incarnation == incarnation
                 && details.number <= last_end
         };
+        self.work.add(self.jobs.len());
         for job in self.jobs.values_mut().filter(|job| !job.failures.is_empty()) {
             let count = job.failures.len();
             job.failures.retain(|failure| !is_confirmed(&failure.details));
@@ -78,6 +80,7 @@
 
     /// Marks the failures that a hold acknowledges as the hold is sent.
     pub(super) fn mark_acknowledgement_sent(&mut self, id: &MinionId, last_saved_end: u64) {
+        self.work.add(self.jobs.len());
         for job in self.jobs.values_mut() {
             let failures = job.failures.iter_mut();
             let acknowledged = failures.filter(|failure| {
@@ -126,6 +129,7 @@
         context: &mut StepContext,
         is_discounted: impl Fn(&UncertainFailure) -> bool,
     ) {
+        self.work.add(self.jobs.len());
         for (name, job) in self.jobs.iter_mut().filter(|(_, job)| !job.failures.is_empty()) {
             let failures = std::mem::take(&mut job.failures);
             let (discounted, remaining): (Vec<PendingFailure>, Vec<PendingFailure>) =
@@ -147,6 +151,7 @@
     pub(super) fn fail_exhausted_jobs(&mut self, context: &mut StepContext) {
         let Some(config) = context.shared.config.as_ref() else { return };
         let mut exhausted: Vec<(JobId, TaskName)> = Vec::new();
+        self.work.add(self.jobs.len());
         for (name, job) in &self.jobs {
             if job.phase.is_final() || job.may_have_unknown_runs {
                 continue;
--- a/crates/fleet/src/pool/limits.rs
+++ b/crates/fleet/src/pool/limits.rs
@@ -240,12 +240,14 @@
     /// tasks that an earlier owner may have started and no minion has listed yet.
     fn used_by_team(&self) -> BTreeMap<TeamId, Resources> {
         let mut used: BTreeMap<TeamId, Resources> = BTreeMap::new();
+        self.work.add(self.jobs.len());
         for job in self.jobs.values().filter(|job| job.may_have_unknown_runs) {
             let Some(team) = &job.team else { continue };
             let sum = used.entry(team.clone()).or_default();
             *sum = sum.saturating_add(&job.ready_reservation());
         }
         for run in self.minions.values().flat_map(|minion| minion.runs.values()) {
+            self.work.add(1);
             if let Some(team) = &run.team {
                 let sum = used.entry(team.clone()).or_default();
                 *sum = sum.saturating_add(&run.reservation);
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -24,6 +24,7 @@
 mod placement;
 mod save;
 mod throttle;
+mod work;
 
 use std::collections::BTreeMap;
 
@@ -46,6 +47,7 @@
 use maintenance::MaintenanceState;
 use minion::{OwnedMinion, RunPhase};
 use save::SaveState;
+use work::WorkCounter;
 
 /// Calls of a pool's owner to the store and to minions, recorded to match each answer.
 #[derive(Debug, Clone, PartialEq)]
@@ -105,6 +107,7 @@
     maintenance: MaintenanceState,
     demand: DemandState,
     expiry: ExpiryQueue,
+    work: WorkCounter,
     /// Whether the daemon is stopping, so that no more tasks are placed.
     is_stopping: bool,
     /// Whether another daemon owns the pool now.
@@ -128,6 +131,7 @@
             maintenance: MaintenanceState::default(),
             demand: DemandState::default(),
             expiry: ExpiryQueue::default(),
+            work: WorkCounter::default(),
             is_stopping: false,
             is_lost: false,
         };
@@ -252,6 +256,11 @@
 
     /// Saves changes, places tasks and sends due holds. Runs after every event.
     pub(crate) fn advance(&mut self, context: &mut StepContext) {
+        self.advance_if_owned(context);
+        context.out.count_checks(self.work.take());
+    }
+
+    fn advance_if_owned(&mut self, context: &mut StepContext) {
         if !context.is_ownership_valid || self.is_lost {
             return;
         }
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -118,6 +118,7 @@
         let is_expired = |minion: &OwnedMinion| {
             minion.are_leases_expired(now) && now.0 > minion.last_hold_at.0 && minion.is_fenced
         };
+        self.work.add(self.minions.len());
         let ids: Vec<MinionId> = self
             .minions
             .iter()
@@ -142,6 +143,7 @@
             return;
         }
         let now = context.clock.now;
+        self.work.add(self.minions.len());
         let due: Vec<MinionId> = self
             .minions
             .iter()
@@ -218,6 +220,7 @@
         }
         let mut due = Vec::new();
         for (id, minion) in &self.minions {
+            self.work.add(1 + minion.runs.len());
             for (key, run) in &minion.runs {
                 if matches!(run.phase, RunPhase::Stopping { retry_at } if now >= retry_at) {
                     due.push((id.clone(), key.clone()));
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -93,6 +93,7 @@
     /// Lists the jobs that may start tasks, in the order of their ranks.
     fn ranked_jobs(&self, context: &StepContext, config: &FleetConfig) -> Vec<(PlaceRank, JobId)> {
         let mut ranked = Vec::new();
+        self.work.add(self.jobs.len());
         for (name, job) in &self.jobs {
             if job.ready.is_empty() || job.may_have_unknown_runs {
                 continue;
@@ -183,6 +184,7 @@
     ) -> Option<MinionId> {
         let now = context.clock.now;
         let mut best: Option<((bool, usize, u64), &MinionId)> = None;
+        self.work.add(self.minions.len());
         for (id, minion) in &self.minions {
             let (reserved, planned_tasks) = planned.get(id).copied().unwrap_or_default();
             let free = minion.free_capacity().saturating_sub(&reserved);
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -102,6 +102,7 @@
         if self.save.in_flight.is_some() || context.clock.now < self.save.next_commit_at {
             return;
         }
+        self.work.add(self.jobs.len());
         let dirty: Vec<JobId> = self
             .jobs
             .iter()
@@ -141,6 +142,7 @@
     /// Builds the roster: minions that have answered this owner, and minions of the stored
     /// roster that may still execute tasks of an earlier owner.
     fn build_roster(&self) -> PoolRoster {
+        self.work.add(self.minions.len());
         let mut minions: BTreeMap<MinionId, RosterRow> = self.stage.unconfirmed_minions.clone();
         for (id, minion) in &self.minions {
             if minion.is_fenced {
