--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -62,6 +62,7 @@
             MinionAnswer::WrongLife => {
                 minion.next_hold_at = now;
                 minion.starts_paused_until = now + REFUSAL_PAUSE;
+                self.hold_queue.add(id);
                 self.release_run(id, task, run);
             }
             // The next hold shows whether the run exists; until then the run keeps its
@@ -85,6 +86,7 @@
         let now = context.clock.now;
         let Some(minion) = self.minions.get_mut(id) else { return };
         minion.is_hold_in_flight = false;
+        self.hold_queue.add(id);
         match answer {
             MinionAnswer::Held {
                 clock_ms,
@@ -250,10 +252,8 @@
             }
             known.percent = row.percent;
             known.reported_metric = row.reported_metric;
-            if let (Some(checkpoint), Some(job)) =
-                (row.checkpoint, self.jobs.get_mut(&row.task.job))
-            {
-                job.checkpoints.insert(position_of(&row.task), checkpoint);
+            if let Some(checkpoint) = row.checkpoint {
+                self.jobs.set_checkpoint(&row.task, checkpoint);
             }
             return;
         }
@@ -272,6 +272,7 @@
             .map(super::placement::reservation_for)
             .unwrap_or_default();
         let team = job.as_ref().and_then(|job| job.team.clone());
+        let is_long_running = job.as_ref().is_none_or(|job| job.spec.is_long_running());
         let is_needed = job.as_ref().is_some_and(|job| {
             !job.phase.is_final()
                 && !job.live.contains_key(&position)
@@ -290,11 +291,13 @@
             phase: RunPhase::Running,
             team,
             reservation,
+            is_long_running,
             percent: row.percent,
             reported_metric: row.reported_metric,
             processor_share: 100,
             confirmed_at: now,
         };
+        self.limits.record_use(run.team.as_ref(), &run.reservation);
         minion.insert_run((row.task.clone(), row.run), run);
         if !is_needed {
             self.stop_run(context, id, &row.task, row.run);
@@ -341,8 +344,12 @@
     /// Removes a run and makes its task ready if that was the task's current run.
     pub(super) fn release_run(&mut self, id: &MinionId, task: &TaskName, run: RunNumber) {
         if let Some(minion) = self.minions.get_mut(id) {
-            minion.remove_run(&(task.clone(), run));
+            let removed = minion.remove_run(&(task.clone(), run));
+            if let Some(removed) = removed {
+                self.limits.release_use(removed.team.as_ref(), &removed.reservation);
+            }
         }
+        self.pass.request();
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let position = position_of(task);
         let is_live =
@@ -400,10 +407,17 @@
 
     /// Opens the steps of timetabled jobs that have become due.
     pub(super) fn open_due_steps(&mut self, context: &mut StepContext) {
-        self.work.add(self.jobs.len());
-        for job in self.jobs.values_mut() {
-            if job.spec.timetable.is_some() {
-                job.open_steps(context.clock.wall_ms);
+        let wall_ms = context.clock.wall_ms;
+        let timetabled = self.jobs.timetabled_jobs();
+        self.work.add(timetabled.len());
+        let due: Vec<JobId> = timetabled
+            .iter()
+            .filter(|job| self.jobs[job].has_new_due_occurrence(wall_ms))
+            .cloned()
+            .collect();
+        for name in due {
+            if let Some(job) = self.jobs.get_mut(&name) {
+                job.open_steps(wall_ms);
             }
         }
     }
--- a/crates/fleet/src/pool/demand.rs
+++ b/crates/fleet/src/pool/demand.rs
@@ -10,11 +10,10 @@
 
 use std::collections::BTreeSet;
 
-use jobs::TaskMark;
 use state::{Millis, MinionId, Moment, Revision, VmId};
 
-use super::job::OwnedJob;
 use super::minion::OwnedMinion;
+use super::work_estimate::WorkEstimate;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
 use crate::key::{OwnKey, StoreKey};
@@ -36,6 +35,7 @@
 /// State of the pool's demand, as last written for the VM controller.
 #[derive(Debug, Default)]
 pub(super) struct DemandState {
+    estimate: WorkEstimate,
     /// Demand that was last written.
     written_demand: PoolDemand,
     /// Revision of the demand record in the store.
@@ -59,6 +59,7 @@
             .config
             .as_ref()
             .is_some_and(|config| config.pools.values().any(|pool| pool.is_spare));
+        self.estimate_changed_jobs();
         if !context.is_ownership_valid || !self.stage.is_loaded() || !has_spare {
             return;
         }
@@ -88,6 +89,14 @@
         }
     }
 
+    /// Updates the estimates of the jobs that have changed.
+    fn estimate_changed_jobs(&mut self) {
+        for job in self.jobs.take_unestimated() {
+            self.work.add(1);
+            self.demand.estimate.update(&job, self.jobs.get(&job));
+        }
+    }
+
     /// Adopts the demand that an earlier owner wrote, since orders for the offered VMs may
     /// be in flight.
     pub(super) fn adopt_demand(&mut self, context: &StepContext) {
@@ -106,7 +115,7 @@
     /// Returns the number of VMs to request besides the present ones, and the number to
     /// retain.
     fn compute_demand(&self, context: &StepContext) -> (u32, usize) {
-        self.work.add(self.minions.len() + self.jobs.len());
+        self.work.add(self.minions.len());
         let usable = self.minions.values().filter(|minion| {
             minion.is_listed
                 && !minion.is_being_drained
@@ -119,22 +128,16 @@
         for minion in usable {
             total_millicores += minion.report.capacity.processor.0;
             count += 1;
-            long_running_millicores += self.long_running_millicores_on(&minion.report.minion);
+            long_running_millicores += minion.long_running_millicores;
         }
         let millicores_per_vm =
             total_millicores.checked_div(count).unwrap_or_else(|| typical_capacity(context));
         if millicores_per_vm == 0 {
             return (0, self.minions.len());
         }
-        let work: u64 = self.jobs.values().map(open_work).sum();
+        let work = self.demand.estimate.open_work();
         let since_ms = context.clock.wall_ms.saturating_sub(ARRIVAL_WINDOW_MS);
-        let is_new = |job: &&OwnedJob| {
-            job.accepted_ms > since_ms
-                && !job.spec.is_long_running()
-                && job.spec.timetable.is_none()
-        };
-        let new_jobs = self.jobs.values().filter(is_new);
-        let new_work: u64 = new_jobs.map(|job| job.spec.estimated_work()).sum();
+        let new_work = self.demand.estimate.work_accepted_after(since_ms);
         let needed =
             (work / BACKLOG_TARGET_MS).max(new_work / ARRIVAL_WINDOW_MS) + long_running_millicores;
         let requested_vms = needed
@@ -149,23 +152,12 @@
     /// Returns the maximum number of unplaced tasks of one long-running job, since each of
     /// them may need a VM of its own.
     fn count_unplaced_long_running(&self) -> u32 {
-        let jobs = self.jobs.values().filter(|job| job.spec.is_long_running());
+        let jobs = self.demand.estimate.long_running_jobs();
+        let jobs = jobs.iter().filter_map(|job| self.jobs.get(job));
         let ready = jobs.map(|job| job.ready.values().map(Vec::len).sum::<usize>());
         ready.max().unwrap_or(0) as u32
     }
 
-    /// Sums the reservations of the long-running tasks on a minion, in millicores.
-    fn long_running_millicores_on(&self, id: &MinionId) -> u64 {
-        let Some(minion) = self.minions.get(id) else { return 0 };
-        let runs = minion.runs.iter().filter(|((task, _), _)| self.is_long_running_task(task));
-        runs.map(|(_, run)| run.reservation.processor.0).sum()
-    }
-
-    /// Whether a task belongs to a long-running job; true for an unknown job.
-    fn is_long_running_task(&self, task: &jobs::TaskName) -> bool {
-        self.jobs.get(&task.job).is_none_or(|job| job.spec.is_long_running())
-    }
-
     /// Chooses a VM to drain if the pool has had a surplus for long enough. Withdraws all
     /// offers if the pool requests VMs.
     fn choose_vm_to_drain(
@@ -219,7 +211,7 @@
                 && !minion.is_being_drained
                 && !minion.report.is_draining
                 && minion.report.vm.as_ref().is_some_and(|vm| !wave_vms.contains(vm))
-                && !minion.runs.keys().any(|(task, _)| self.is_long_running_task(task))
+                && minion.long_running_runs == 0
         };
         let candidates = self.minions.values().filter(may_drain);
         let least = candidates.min_by_key(|minion| minion.used.processor.0);
@@ -290,20 +282,3 @@
     let capacities = context.registry.reports.values().map(|report| report.capacity.processor.0);
     capacities.max().unwrap_or(0)
 }
-
-/// Estimates the work of a job that is not done, in millicores times milliseconds. Steps
-/// that are not ready count half, because they start later.
-fn open_work(job: &OwnedJob) -> u64 {
-    if job.phase.is_final() || job.spec.is_long_running() || job.spec.timetable.is_some() {
-        return 0;
-    }
-    let mut work = 0;
-    for (number, step) in job.spec.steps.iter().enumerate() {
-        let number = number as u16;
-        let is_open = |index: &u32| job.progress.mark(0, number, *index) != TaskMark::Done;
-        let open = (0..step.tasks).filter(is_open).count() as u64;
-        let step_work = open * step.demand.processor.0 * step.estimate.0;
-        work += if job.ready.contains_key(&(0, number)) { step_work } else { step_work / 2 };
-    }
-    work
-}
--- a/crates/fleet/src/pool/failures.rs
+++ b/crates/fleet/src/pool/failures.rs
@@ -5,7 +5,7 @@
 //! longer be proven, and the failure is discounted. Otherwise a job could fail because
 //! of a failure for which no evidence is left.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use jobs::{JobPhase, TaskMark, TaskName};
 use state::{JobId, MinionId};
@@ -45,11 +45,22 @@
         job.is_progress_dirty = true;
     }
 
-    /// Returns the minions whose failures are not yet certain to count.
-    pub(super) fn minions_with_uncertain_failures(&self) -> BTreeSet<MinionId> {
-        self.work.add(self.jobs.len());
-        let failures = self.jobs.values().flat_map(|job| &job.failures);
-        failures.map(|failure| failure.details.minion.clone()).collect()
+    /// Whether a minion has failures that are not yet certain to count.
+    pub(super) fn has_uncertain_failures(&mut self, id: &MinionId) -> bool {
+        let jobs = self.uncertain_jobs_of(|details| details.minion == *id);
+        !jobs.is_empty()
+    }
+
+    /// Lists the jobs with an uncertain failure for which `is_match` holds.
+    fn uncertain_jobs_of(&mut self, is_match: impl Fn(&UncertainFailure) -> bool) -> Vec<JobId> {
+        let mut matching = Vec::new();
+        for (name, job) in self.jobs.uncertain_jobs() {
+            self.work.add(1);
+            if job.failures.iter().any(|failure| is_match(&failure.details)) {
+                matching.push(name.clone());
+            }
+        }
+        matching
     }
 
     /// Records that a minion was told to drop its finished runs up to `last_saved_end`.
@@ -68,8 +79,8 @@
                 && details.minion_incarnation == incarnation
                 && details.number <= last_end
         };
-        self.work.add(self.jobs.len());
-        for job in self.jobs.values_mut().filter(|job| !job.failures.is_empty()) {
+        for name in self.uncertain_jobs_of(is_confirmed) {
+            let Some(job) = self.jobs.get_mut(&name) else { continue };
             let count = job.failures.len();
             job.failures.retain(|failure| !is_confirmed(&failure.details));
             // Saves the change, so that the next owner does not discount a confirmed
@@ -80,13 +91,13 @@
 
     /// Marks the failures that a hold acknowledges as the hold is sent.
     pub(super) fn mark_acknowledgement_sent(&mut self, id: &MinionId, last_saved_end: u64) {
-        self.work.add(self.jobs.len());
-        for job in self.jobs.values_mut() {
-            let failures = job.failures.iter_mut();
-            let acknowledged = failures.filter(|failure| {
-                failure.details.minion == *id && failure.details.number <= last_saved_end
-            });
-            acknowledged.for_each(|failure| failure.is_acknowledgement_sent = true);
+        let is_acknowledged =
+            |details: &UncertainFailure| details.minion == *id && details.number <= last_saved_end;
+        for name in self.uncertain_jobs_of(is_acknowledged) {
+            let Some(job) = self.jobs.get_mut(&name) else { continue };
+            for failure in &mut job.failures {
+                failure.is_acknowledgement_sent |= is_acknowledged(&failure.details);
+            }
         }
     }
 
@@ -129,8 +140,8 @@
         context: &mut StepContext,
         is_discounted: impl Fn(&UncertainFailure) -> bool,
     ) {
-        self.work.add(self.jobs.len());
-        for (name, job) in self.jobs.iter_mut().filter(|(_, job)| !job.failures.is_empty()) {
+        for name in self.uncertain_jobs_of(&is_discounted) {
+            let Some(job) = self.jobs.get_mut(&name) else { continue };
             let failures = std::mem::take(&mut job.failures);
             let (discounted, remaining): (Vec<PendingFailure>, Vec<PendingFailure>) =
                 failures.into_iter().partition(|failure| is_discounted(&failure.details));
@@ -141,7 +152,7 @@
                 let (occurrence, step, index) = failure.details.task;
                 let inputs =
                     format!("end {} of {}", failure.details.number, failure.details.minion);
-                context.out.log("failure", name, inputs, "taken back");
+                context.out.log("failure", &name, inputs, "taken back");
                 job.progress.discount_failure(occurrence, step, index);
             }
         }
@@ -151,15 +162,17 @@
     pub(super) fn fail_exhausted_jobs(&mut self, context: &mut StepContext) {
         let Some(config) = context.shared.config.as_ref() else { return };
         let mut exhausted: Vec<(JobId, TaskName)> = Vec::new();
-        self.work.add(self.jobs.len());
-        for (name, job) in &self.jobs {
+        for name in self.jobs.take_unchecked() {
+            self.work.add(1);
+            let Some(job) = self.jobs.get(&name) else { continue };
             if job.phase.is_final() || job.may_have_unknown_runs {
                 continue;
             }
             // The maximum number of attempts is unknown without the queue's configuration.
             let Some(queue) = config.queue(&job.queue) else { continue };
             if let Some(position) = job.exhausted_task(queue.max_attempts) {
-                exhausted.push((name.clone(), super::job::task_name(name, position)));
+                let task = super::job::task_name(&name, position);
+                exhausted.push((name, task));
             }
         }
         for (name, task) in exhausted {
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -5,6 +5,7 @@
 //! change, and `save` writes them to the store.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use jobs::{AcceptedJob, JobPhase, JobProgress, JobSpec, Resources, RunNumber, TaskMark, TaskName};
 use state::{JobId, MinionId, Moment, QueueId, Revision, TeamId};
@@ -37,7 +38,7 @@
 /// A job of the pool, with its progress and its runs.
 #[derive(Debug)]
 pub(super) struct OwnedJob {
-    pub(super) spec: JobSpec,
+    pub(super) spec: Arc<JobSpec>,
     pub(super) queue: QueueId,
     pub(super) team: Option<TeamId>,
     /// Time of acceptance, in milliseconds since 1970.
@@ -58,6 +59,8 @@
     pub(super) failures: Vec<PendingFailure>,
     /// Occurrences and steps whose tasks were already made ready.
     opened_steps: BTreeSet<(u32, u16)>,
+    /// Number of occurrences that were due when steps were last opened.
+    due_occurrences: u32,
     /// Number of runs that this owner has numbered.
     started_runs: u64,
     /// Whether the progress must be saved.
@@ -74,7 +77,7 @@
     /// Creates a job without progress.
     pub(super) fn new(accepted: AcceptedJob, phase: JobPhase, outcome_revision: Revision) -> Self {
         Self {
-            spec: accepted.spec,
+            spec: Arc::new(accepted.spec),
             queue: accepted.queue,
             team: accepted.team,
             accepted_ms: accepted.accepted_ms,
@@ -87,6 +90,7 @@
             checkpoints: BTreeMap::new(),
             failures: Vec::new(),
             opened_steps: BTreeSet::new(),
+            due_occurrences: 0,
             started_runs: 0,
             is_progress_dirty: false,
             is_phase_dirty: false,
@@ -95,16 +99,22 @@
         }
     }
 
-    /// Whether the job has changes to be saved, or records to be removed.
-    pub(super) fn is_dirty(&self, now: Moment) -> bool {
-        self.is_progress_dirty || self.is_phase_due(now) || self.is_finished()
+    /// Whether the job has changes to be saved at once, or records to be removed.
+    pub(super) fn has_urgent_changes(&self) -> bool {
+        let is_phase_urgent = self.phase.is_final() || self.first_run_at.is_none();
+        self.is_progress_dirty || (self.is_phase_dirty && is_phase_urgent) || self.is_finished()
+    }
+
+    /// Returns the time from which an active phase may be saved.
+    pub(super) fn phase_report_at(&self) -> Option<Moment> {
+        self.first_run_at.map(|at| at + BEGUN_REPORT_DELAY)
     }
 
     /// Whether the phase must be saved now. An active phase is saved only after
     /// `BEGUN_REPORT_DELAY`: each change of an outcome wakes every daemon, and many jobs end
     /// soon after their first start.
     pub(super) fn is_phase_due(&self, now: Moment) -> bool {
-        let is_delay_over = self.first_run_at.is_none_or(|at| now >= at + BEGUN_REPORT_DELAY);
+        let is_delay_over = self.phase_report_at().is_none_or(|at| now >= at);
         self.is_phase_dirty && (self.phase.is_final() || is_delay_over)
     }
 
@@ -132,12 +142,19 @@
             if self.spec.due_ms(occurrence) > wall_ms {
                 break;
             }
+            self.due_occurrences = self.due_occurrences.max(occurrence + 1);
             for step in 0..self.spec.steps.len() as u16 {
                 self.open_step(occurrence, step);
             }
         }
     }
 
+    /// Whether an occurrence has become due since steps were last opened.
+    pub(super) fn has_new_due_occurrence(&self, wall_ms: u64) -> bool {
+        self.due_occurrences < self.spec.occurrences()
+            && self.spec.due_ms(self.due_occurrences) <= wall_ms
+    }
+
     fn open_step(&mut self, occurrence: u32, step: u16) {
         if self.opened_steps.contains(&(occurrence, step)) {
             return;
--- a/crates/fleet/src/pool/limits.rs
+++ b/crates/fleet/src/pool/limits.rs
@@ -6,16 +6,19 @@
 //! claims what is not allocated and records what it requests; pools with unused quota give
 //! it up to others. All of these changes are compare-and-swap writes of the one record.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 
 use jobs::Resources;
 use state::{Moment, PoolId, Revision, TeamId};
 
+use super::team_use::ResourceSum;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{ItemValue, PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
 use crate::key::{OwnKey, StoreKey};
 use crate::model::FleetConfig;
 use crate::records::{AllocationDoc, PoolAllocation, decode, encode};
+use crate::shared::Versioned;
 use crate::timing::{COMMIT_RETRY_DELAY, MIN_ALLOCATION_INTERVAL};
 
 /// The pool's local view of its allocation, use and requests of each team's limit.
@@ -23,12 +26,18 @@
 pub(super) struct LocalAllocation {
     /// Resources allocated to the pool for each team.
     allocations: BTreeMap<TeamId, Resources>,
-    /// Resources that the pool's runs reserve for each team.
-    used: BTreeMap<TeamId, Resources>,
+    /// Resources that the pool's known runs reserve for each team.
+    run_use: BTreeMap<TeamId, ResourceSum>,
+    /// Resources of tasks that an earlier owner may have started and no minion has listed
+    /// yet.
+    unresolved_use: BTreeMap<TeamId, Resources>,
     /// Resources that the last placement pass could not get for each team.
     shortfall: BTreeMap<TeamId, Resources>,
-    /// Teams with a limit in the configuration.
+    /// Teams with a limit in the configuration of version `config_version`.
     limited_teams: BTreeSet<TeamId>,
+    config_version: u64,
+    /// Revision of the shared record when it was last compared.
+    shared_revision: Option<Revision>,
     /// Whether a write is not answered yet.
     is_write_in_flight: bool,
     /// Earliest time of the next write.
@@ -51,7 +60,7 @@
         let Some(team) = team.filter(|team| self.limited_teams.contains(*team)) else {
             return true;
         };
-        let used = self.used.get(team).copied().unwrap_or_default();
+        let used = self.used_by(team);
         let allocation = self.allocations.get(team).copied().unwrap_or_default();
         if used.saturating_add(additional).fits_within(&allocation) {
             return true;
@@ -75,10 +84,50 @@
     }
 
     /// Counts a new run against its team's allocation.
-    pub(super) fn record_use(&mut self, team: Option<&TeamId>, additional: &Resources) {
-        if let Some(team) = team {
-            let used = self.used.entry(team.clone()).or_default();
-            *used = used.saturating_add(additional);
+    pub(super) fn record_use(&mut self, team: Option<&TeamId>, reservation: &Resources) {
+        let Some(team) = team else { return };
+        match self.run_use.get_mut(team) {
+            Some(used) => used.add(reservation),
+            None => self.run_use.entry(team.clone()).or_default().add(reservation),
+        }
+    }
+
+    /// Releases the resources of a run that has ended.
+    pub(super) fn release_use(&mut self, team: Option<&TeamId>, reservation: &Resources) {
+        if let Some(used) = team.and_then(|team| self.run_use.get_mut(team)) {
+            used.subtract(reservation);
+        }
+    }
+
+    /// Returns the resources that the pool uses for a team.
+    fn used_by(&self, team: &TeamId) -> Resources {
+        let runs = self.run_use.get(team).copied().unwrap_or_default().to_resources();
+        let unresolved = self.unresolved_use.get(team).copied().unwrap_or_default();
+        runs.saturating_add(&unresolved)
+    }
+
+    /// Returns the resources that the pool uses for each team.
+    fn used_by_team(&self) -> BTreeMap<TeamId, Resources> {
+        let teams = self.run_use.keys().chain(self.unresolved_use.keys());
+        teams.map(|team| (team.clone(), self.used_by(team))).collect()
+    }
+
+    /// Whether the shared record has changed since the last call.
+    pub(super) fn has_new_revision(&mut self, revision: Option<Revision>) -> bool {
+        let before = std::mem::replace(&mut self.shared_revision, revision);
+        before != revision
+    }
+
+    /// Returns the newest known record: the one of a conflict or a commit, or else the shared
+    /// one.
+    fn newest_doc<'a>(
+        &'a self,
+        shared: Option<&'a Versioned<AllocationDoc>>,
+    ) -> (Cow<'a, AllocationDoc>, Revision) {
+        match (&self.newer_doc, shared) {
+            (Some((doc, revision)), _) => (Cow::Borrowed(doc), *revision),
+            (None, Some(shared)) => (Cow::Borrowed(&shared.record), shared.revision),
+            (None, None) => (Cow::Owned(AllocationDoc::default()), Revision(0)),
         }
     }
 }
@@ -160,33 +209,37 @@
 }
 
 impl PoolOwner {
-    /// Updates the use and the allocations of each team, and writes the shared record if
-    /// needed.
-    pub(super) fn update_allocations(&mut self, context: &mut StepContext) {
-        // Until the jobs and their runs are loaded, quota that is in use would seem free.
-        if !self.stage.is_loaded() {
-            return;
-        }
+    /// Updates the use and the allocations of each team before a placement pass.
+    pub(super) fn refresh_allocations(&mut self, context: &StepContext) {
         let Some(config) = context.shared.config.as_ref() else { return };
-        self.limits.limited_teams = config.teams.iter().map(|team| team.team.clone()).collect();
-        self.limits.used = self.used_by_team();
+        if self.limits.config_version != config.version {
+            self.limits.config_version = config.version;
+            self.limits.limited_teams = config.teams.iter().map(|team| team.team.clone()).collect();
+        }
+        self.sum_unresolved_use();
         let shared = context.shared.allocations.as_ref();
-        let shared = shared.map_or((AllocationDoc::default(), Revision(0)), |allocations| {
-            (allocations.record.clone(), allocations.revision)
-        });
-        self.limits.newer_doc.take_if(|newer_doc| newer_doc.1 <= shared.1);
-        let (doc, revision) = self.limits.newer_doc.clone().unwrap_or(shared);
-        self.limits.allocations = allocations_of_pool(&doc, &self.pool);
+        let shared_revision = shared.map_or(Revision(0), |shared| shared.revision);
+        self.limits.newer_doc.take_if(|newer_doc| newer_doc.1 <= shared_revision);
+        let allocations = allocations_of_pool(&self.limits.newest_doc(shared).0, &self.pool);
+        self.limits.allocations = allocations;
         self.limits.cap_to_pending_doc(&self.pool);
+    }
+
+    /// Writes the shared record if this pool needs more or other pools need what it does not
+    /// use.
+    pub(super) fn rebalance_allocations(&mut self, context: &mut StepContext) {
+        let Some(config) = context.shared.config.as_ref() else { return };
         if self.limits.is_write_in_flight || context.clock.now < self.limits.next_write_at {
             return;
         }
-        let mut requests = self.limits.used.clone();
+        let (doc, revision) = self.limits.newest_doc(context.shared.allocations.as_ref());
+        let used = self.limits.used_by_team();
+        let mut requests = used.clone();
         for (team, shortfall) in &self.limits.shortfall {
             let requested_total = requests.entry(team.clone()).or_default();
             *requested_total = requested_total.saturating_add(shortfall);
         }
-        let next = rebalance(&doc, &self.pool, config, &self.limits.used, &requests);
+        let next = rebalance(&doc, &self.pool, config, &used, &requests);
         // After an unknown result, the next write shows through its answer which record is
         // in force.
         if self.limits.pending_doc.is_none() && !needs_write(&doc, &next, &self.pool) {
@@ -214,6 +267,7 @@
     ) {
         self.limits.is_write_in_flight = false;
         self.limits.next_write_at = context.clock.now + MIN_ALLOCATION_INTERVAL;
+        self.pass.request();
         match answer {
             StoreAnswer::Committed(revision) => {
                 self.limits.newer_doc = self.limits.pending_doc.take().map(|doc| (doc, revision));
@@ -236,24 +290,16 @@
         }
     }
 
-    /// Sums the resources that each team uses: reservations of known runs, and those of
-    /// tasks that an earlier owner may have started and no minion has listed yet.
-    fn used_by_team(&self) -> BTreeMap<TeamId, Resources> {
-        let mut used: BTreeMap<TeamId, Resources> = BTreeMap::new();
-        self.work.add(self.jobs.len());
-        for job in self.jobs.values().filter(|job| job.may_have_unknown_runs) {
+    /// Sums the resources of tasks that an earlier owner may have started and no minion has
+    /// listed yet.
+    fn sum_unresolved_use(&mut self) {
+        self.limits.unresolved_use.clear();
+        for job in self.jobs.unresolved_jobs() {
+            self.work.add(1);
             let Some(team) = &job.team else { continue };
-            let sum = used.entry(team.clone()).or_default();
+            let sum = self.limits.unresolved_use.entry(team.clone()).or_default();
             *sum = sum.saturating_add(&job.ready_reservation());
         }
-        for run in self.minions.values().flat_map(|minion| minion.runs.values()) {
-            self.work.add(1);
-            if let Some(team) = &run.team {
-                let sum = used.entry(team.clone()).or_default();
-                *sum = sum.saturating_add(&run.reservation);
-            }
-        }
-        used
     }
 }
 
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -36,6 +36,8 @@
     pub(super) team: Option<TeamId>,
     /// Resources that the run reserves of the minion's capacity.
     pub(super) reservation: Resources,
+    /// Whether the run belongs to a long-running job, or to an unknown one.
+    pub(super) is_long_running: bool,
     /// Progress that the task reported last; a long-running task serves at 100.
     pub(super) percent: u8,
     /// Metric that the task reported last: tail latency in milliseconds for a serving task,
@@ -67,6 +69,12 @@
     pub(super) runs: BTreeMap<RunKey, MinionRun>,
     /// Sum of the reservations of all runs.
     pub(super) used: Resources,
+    /// Number of runs of long-running jobs.
+    pub(super) long_running_runs: usize,
+    /// Sum of the processor reservations of these runs, in millicores.
+    pub(super) long_running_millicores: u64,
+    /// Whether stops were sent that may have to be sent again.
+    pub(super) may_have_stops: bool,
     /// Highest number of a finished run that was processed.
     pub(super) processed_end: u64,
     /// Highest number of a finished run that is saved in the store.
@@ -100,6 +108,9 @@
             lease_end: Moment(0),
             runs: BTreeMap::new(),
             used: Resources::default(),
+            long_running_runs: 0,
+            long_running_millicores: 0,
+            may_have_stops: false,
             processed_end: saved_end,
             saved_end,
             acknowledged_end: saved_end,
@@ -156,17 +167,28 @@
 
     /// Adds a run and reserves its resources.
     pub(super) fn insert_run(&mut self, key: RunKey, run: MinionRun) {
-        self.used = self.used.saturating_add(&run.reservation);
         self.runs.insert(key, run);
+        self.sum_reservations();
     }
 
-    /// Removes a run and releases its resources.
-    pub(super) fn remove_run(&mut self, key: &RunKey) {
-        self.runs.remove(key);
-        self.used = self
-            .runs
-            .values()
-            .fold(Resources::default(), |sum, run| sum.saturating_add(&run.reservation));
+    /// Removes and returns a run, and releases its resources.
+    pub(super) fn remove_run(&mut self, key: &RunKey) -> Option<MinionRun> {
+        let run = self.runs.remove(key);
+        self.sum_reservations();
+        run
+    }
+
+    fn sum_reservations(&mut self) {
+        self.used = Resources::default();
+        self.long_running_runs = 0;
+        self.long_running_millicores = 0;
+        for run in self.runs.values() {
+            self.used = self.used.saturating_add(&run.reservation);
+            if run.is_long_running {
+                self.long_running_runs += 1;
+                self.long_running_millicores += run.reservation.processor.0;
+            }
+        }
     }
 
     /// Whether the minion has no runs and lists no finished run, so that its VM can be
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -7,24 +7,35 @@
 //! the roster has answered, has begun a new incarnation, or the leases of earlier owners
 //! have certainly expired.
 //!
-//! After loading, the owner reacts to events: a finished run or a new job is followed by a
-//! placement pass (`placement`). Finished runs are saved in batches (`save`), and a minion is
-//! told to drop a finished run only after the run is saved.
+//! After loading, the owner reacts to events: a finished run or a new job requests a placement
+//! pass (`placement`), and the next pass starts as soon as its share of work allows (`pass`).
+//! Finished runs are saved in batches (`save`), and a minion is told to drop a finished run
+//! only after the run is saved.
+//!
+//! The work of one event depends neither on the number of waiting jobs nor on the number of
+//! minions: `job_table` indexes the jobs that need work, `ready_queue` keeps them ranked, and
+//! `hold_queue` holds the minions that may be due for a hold.
 
 mod answers;
 mod demand;
 mod expiry;
 mod failures;
+mod hold_queue;
 mod job;
+mod job_table;
 mod limits;
 mod load;
 mod maintenance;
 mod minion;
 mod orders;
+mod pass;
 mod placement;
+mod ready_queue;
 mod save;
+mod team_use;
 mod throttle;
 mod work;
+mod work_estimate;
 
 use std::collections::BTreeMap;
 
@@ -41,11 +52,14 @@
 
 use demand::DemandState;
 use expiry::ExpiryQueue;
-use job::OwnedJob;
+use hold_queue::HoldQueue;
+use job_table::JobTable;
 use limits::LocalAllocation;
 use load::LoadStage;
 use maintenance::MaintenanceState;
 use minion::{OwnedMinion, RunPhase};
+use pass::PassSchedule;
+use ready_queue::ReadyQueue;
 use save::SaveState;
 use work::WorkCounter;
 
@@ -100,8 +114,13 @@
     /// Time at which this daemon became the owner.
     owned_since: Moment,
     stage: LoadStage,
-    jobs: BTreeMap<JobId, OwnedJob>,
+    jobs: JobTable,
+    ready_queue: ReadyQueue,
+    pass: PassSchedule,
     minions: BTreeMap<MinionId, OwnedMinion>,
+    hold_queue: HoldQueue,
+    /// Version of the configuration that the jobs were last checked against.
+    config_version: u64,
     save: SaveState,
     limits: LocalAllocation,
     maintenance: MaintenanceState,
@@ -124,8 +143,12 @@
             fencing_token,
             owned_since: context.clock.now,
             stage: LoadStage::default(),
-            jobs: BTreeMap::new(),
+            jobs: JobTable::default(),
+            ready_queue: ReadyQueue::default(),
+            pass: PassSchedule::default(),
             minions: BTreeMap::new(),
+            hold_queue: HoldQueue::default(),
+            config_version: 0,
             save: SaveState::default(),
             limits: LocalAllocation::default(),
             maintenance: MaintenanceState::default(),
@@ -233,6 +256,10 @@
     /// Handles a change of the shared records.
     pub(crate) fn on_shared(&mut self, context: &mut StepContext) {
         self.load_jobs(context);
+        let allocations = context.shared.allocations.as_ref();
+        if self.limits.has_new_revision(allocations.map(|allocations| allocations.revision)) {
+            self.pass.request();
+        }
         self.advance(context);
     }
 
@@ -251,6 +278,8 @@
         self.update_maintenance(context);
         self.update_demand(context);
         self.expire_outcomes(context);
+        self.hold_queue.add_all();
+        self.pass.request();
         self.advance(context);
     }
 
@@ -267,12 +296,38 @@
         if self.stage.is_loaded() {
             self.resolve_unknown_runs(context);
         }
+        self.note_new_config(context);
+        self.work.add(self.jobs.refresh());
+        if self.jobs.take_has_new() {
+            self.pass.request();
+        }
         self.fail_exhausted_jobs(context);
-        self.update_allocations(context);
-        if self.stage.is_loaded() && !self.is_stopping {
-            self.place_tasks(context);
+        if self.stage.is_loaded() && self.pass.is_due(context.clock.now) {
+            self.run_pass(context);
         }
         self.save_changes(context);
         self.send_holds(context);
     }
+
+    /// Checks all jobs again after a change of the configuration.
+    fn note_new_config(&mut self, context: &StepContext) {
+        let version = context.shared.config.as_ref().map_or(0, |config| config.version);
+        if version != self.config_version {
+            self.config_version = version;
+            self.jobs.mark_all_changed();
+            self.pass.request();
+        }
+    }
+
+    /// Places ready tasks and adjusts the quota allocations to what they need. Until the jobs
+    /// and their runs are loaded, quota that is in use would seem free.
+    fn run_pass(&mut self, context: &mut StepContext) {
+        let checks_before = self.work.count();
+        self.refresh_allocations(context);
+        if !self.is_stopping {
+            self.place_tasks(context);
+        }
+        self.rebalance_allocations(context);
+        self.pass.record_pass(context.clock.now, self.work.count() - checks_before);
+    }
 }
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -24,6 +24,8 @@
         if !self.stage.is_loaded() {
             return;
         }
+        self.hold_queue.add_all();
+        self.pass.request();
         let reports = &context.registry.reports;
         let belongs_to_pool = |id: &MinionId, owner: &Self| {
             reports.get(id).is_some_and(|report| report.pool == owner.pool)
@@ -143,22 +145,22 @@
             return;
         }
         let now = context.clock.now;
-        self.work.add(self.minions.len());
-        let due: Vec<MinionId> = self
-            .minions
-            .iter()
-            .filter(|(_, minion)| !minion.is_hold_in_flight && is_hold_due(minion, now))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in due {
-            self.send_hold(context, &id);
+        let candidates: Vec<MinionId> = match self.hold_queue.take() {
+            Some(minions) => minions.into_iter().collect(),
+            None => self.minions.keys().cloned().collect(),
+        };
+        self.work.add(candidates.len());
+        for id in candidates {
+            if self.minions.get(&id).is_some_and(|minion| is_hold_due(minion, now)) {
+                self.send_hold(context, &id);
+            }
         }
     }
 
     /// Sends a hold that renews the minion's leases and acknowledges saved finished runs.
     fn send_hold(&mut self, context: &mut StepContext, id: &MinionId) {
         let now = context.clock.now;
-        let uncertain_minions = self.minions_with_uncertain_failures();
+        let has_uncertain_failures = self.has_uncertain_failures(id);
         let Some(minion) = self.minions.get_mut(id) else { return };
         minion.is_hold_in_flight = true;
         minion.last_hold_at = now;
@@ -173,7 +175,7 @@
         // The hold must not wait on the minion in two cases: an uncertain failure must soon
         // be confirmed or discounted, and the VM of a minion that is being drained goes
         // down only after the minion has dropped its finished runs.
-        let is_urgent = minion.is_being_drained || uncertain_minions.contains(id);
+        let is_urgent = minion.is_being_drained || has_uncertain_failures;
         let is_acknowledged = minion.acknowledged_end >= minion.saved_end || !is_urgent;
         let may_wait =
             minion.is_fenced && minion.processed_end == minion.saved_end && is_acknowledged;
@@ -205,6 +207,7 @@
         let now = context.clock.now;
         let Some(minion) = self.minions.get_mut(id) else { return };
         let Some(run) = minion.runs.get_mut(&(task.clone(), number)) else { return };
+        minion.may_have_stops = true;
         run.phase = RunPhase::Stopping { retry_at: now + STOP_RETRY_DELAY };
         let order = MinionCall::Stop { task: task.clone(), run: number };
         let target = minion_target(minion);
@@ -219,10 +222,14 @@
             return;
         }
         let mut due = Vec::new();
-        for (id, minion) in &self.minions {
-            self.work.add(1 + minion.runs.len());
+        self.work.add(self.minions.len());
+        for (id, minion) in self.minions.iter_mut().filter(|(_, minion)| minion.may_have_stops) {
+            self.work.add(minion.runs.len());
+            minion.may_have_stops = false;
             for (key, run) in &minion.runs {
-                if matches!(run.phase, RunPhase::Stopping { retry_at } if now >= retry_at) {
+                let RunPhase::Stopping { retry_at } = run.phase else { continue };
+                minion.may_have_stops = true;
+                if now >= retry_at {
                     due.push((id.clone(), key.clone()));
                 }
             }
@@ -251,5 +258,5 @@
 fn is_hold_due(minion: &OwnedMinion, now: Moment) -> bool {
     let has_unsaved_ends = minion.processed_end > minion.saved_end;
     let renewal = minion.last_hold_at + MAX_HOLD_INTERVAL;
-    now >= minion.next_hold_at && (!has_unsaved_ends || now >= renewal)
+    !minion.is_hold_in_flight && now >= minion.next_hold_at && (!has_unsaved_ends || now >= renewal)
 }
--- /dev/null
+++ b/crates/fleet/src/pool/pass.rs
@@ -0,0 +1,99 @@
+//! Schedule of placement passes, and the free capacity that one pass hands out.
+//!
+//! A pass visits every job with ready tasks and every minion. While events pour in, passes
+//! are spaced so that their work per unit of time is bounded; after a small pass, the next
+//! one may follow at once.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+
+use jobs::Resources;
+use state::{Millis, MinionId, Moment};
+
+/// Number of visited jobs and minions for which the next pass is delayed by a millisecond.
+const CHECKS_PER_MS: u64 = 100;
+/// Maximum delay of the next pass.
+const MAX_PASS_DELAY: Millis = Millis(50);
+/// Number of failed searches that a pass remembers.
+const MAX_FAILED_SEARCHES: usize = 16;
+
+/// Times of placement passes.
+#[derive(Debug, Default)]
+pub(super) struct PassSchedule {
+    /// Whether something changed that may allow a start.
+    is_requested: bool,
+    /// Earliest time of the next pass.
+    next_pass_at: Moment,
+}
+
+impl PassSchedule {
+    /// Requests a pass. A pass that is not due yet is run by a later event or tick.
+    pub(super) fn request(&mut self) {
+        self.is_requested = true;
+    }
+
+    /// Whether a pass is requested and due.
+    pub(super) fn is_due(&self, now: Moment) -> bool {
+        self.is_requested && now >= self.next_pass_at
+    }
+
+    /// Records a pass that visited `checks` jobs and minions.
+    pub(super) fn record_pass(&mut self, now: Moment, checks: u64) {
+        self.is_requested = false;
+        self.next_pass_at = now + Millis(checks / CHECKS_PER_MS).min(MAX_PASS_DELAY);
+    }
+}
+
+/// Free capacity of the usable minions during a pass.
+#[derive(Debug, Default)]
+pub(super) struct PassCapacity {
+    /// Minions with their free processor time, the most free one first.
+    minions: BTreeSet<(Reverse<u64>, MinionId)>,
+    /// Upper bounds of the free memory and accelerators of any minion.
+    largest_free: Resources,
+    /// Reservations and labels for which no minion was found. Capacity only shrinks during
+    /// a pass, so larger reservations with the same label find none either.
+    failed_searches: Vec<(Resources, Option<Box<str>>)>,
+}
+
+impl PassCapacity {
+    /// Adds a usable minion.
+    pub(super) fn add_minion(&mut self, minion: MinionId, free: &Resources) {
+        self.largest_free = self.largest_free.component_max(free);
+        self.minions.insert((Reverse(free.processor.0), minion));
+    }
+
+    /// Records that a minion's free processor time has changed.
+    pub(super) fn update_minion(
+        &mut self,
+        minion: &MinionId,
+        before: &Resources,
+        after: &Resources,
+    ) {
+        if self.minions.remove(&(Reverse(before.processor.0), minion.clone())) {
+            self.minions.insert((Reverse(after.processor.0), minion.clone()));
+        }
+    }
+
+    /// Returns the minions, the one with the most free processor time first.
+    pub(super) fn minions(&self) -> impl Iterator<Item = &(Reverse<u64>, MinionId)> {
+        self.minions.iter()
+    }
+
+    /// Whether a search for a minion may succeed.
+    pub(super) fn may_fit(&self, reservation: &Resources, label: Option<&str>) -> bool {
+        let most_free = self.minions.first().map(|(Reverse(free), _)| *free);
+        most_free.is_some_and(|free| reservation.processor.0 <= free)
+            && reservation.fits_within(&self.largest_free)
+            && !self.failed_searches.iter().any(|(failed, failed_label)| {
+                failed_label.as_deref() == label && failed.fits_within(reservation)
+            })
+    }
+
+    /// Records that no minion was found.
+    pub(super) fn record_failed_search(&mut self, reservation: &Resources, label: Option<&str>) {
+        if self.failed_searches.len() < MAX_FAILED_SEARCHES {
+            self.failed_searches.push((*reservation, label.map(Box::from)));
+        }
+    }
+}
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -1,6 +1,6 @@
 //! Placement: finds a minion for each task that may start.
 //!
-//! A placement pass visits jobs in the order of [`PlaceRank`]: long-running jobs first,
+//! A placement pass visits jobs in the order of their ranks (`ready_queue`): long-running jobs first,
 //! then jobs that can still meet their objective, then late jobs; within each class by the
 //! queue's priority and by the latest start that meets the objective. A task goes to a
 //! minion that has the label of the task's data rack if there is one, and among these to
@@ -13,11 +13,12 @@
 use state::{JobId, MinionId, TeamId};
 
 use super::job::{LiveRun, TaskPosition, task_name};
-use super::minion::{MinionRun, OwnedMinion, RunKey, RunPhase};
+use super::minion::{MinionRun, OwnedMinion, RunPhase};
 use super::orders::minion_target;
+use super::pass::PassCapacity;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::MinionCall;
-use crate::model::{FleetConfig, QueueConfig};
+use crate::model::FleetConfig;
 use crate::timing::START_VALIDITY;
 
 /// Number of long-running tasks on a minion at which the minion is no longer preferred for
@@ -34,125 +35,146 @@
     reservation
 }
 
-/// Order in which jobs are placed; lower ranks come first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct PlaceRank {
-    class: RankClass,
-    priority: u32,
-    /// Latest time at which the rest of the job must start to meet the objective, in
-    /// milliseconds since 1970.
-    latest_start_ms: u64,
-}
-
-/// Class of a job, in the order of placement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum RankClass {
-    LongRunning,
-    OnTime,
-    Late,
-}
-
 /// Tasks of one occurrence's step that may start.
 struct TaskGroup<'a> {
     job: &'a JobId,
     occurrence: u32,
     step: u16,
-    spec: StepSpec,
-    team: Option<TeamId>,
+    spec: &'a StepSpec,
+    team: Option<&'a TeamId>,
+    reservation: Resources,
     /// Maximum number of failures of each task.
     max_attempts: u32,
 }
 
+/// Resources and number of a gang's tasks that are already planned on each minion.
+type GangPlan = BTreeMap<MinionId, (Resources, u32)>;
+
 impl PoolOwner {
     /// Runs a placement pass over all jobs with ready tasks.
     pub(super) fn place_tasks(&mut self, context: &mut StepContext) {
         let Some(config) = context.shared.config.as_ref() else { return };
+        self.rank_changed_jobs(context, config);
         self.limits.begin_placement_pass();
-        for (_, job) in self.ranked_jobs(context, config) {
-            let Some(owned) = self.jobs.get(&job) else { continue };
-            let groups: Vec<(u32, u16)> = owned.ready.keys().copied().collect();
-            let team = owned.team.clone();
-            let queue = config.queue(&owned.queue);
-            let max_attempts = queue.map_or(u32::MAX, |queue| queue.max_attempts);
-            for (occurrence, step) in groups {
-                let Some(spec) = self.jobs[&job].spec.steps.get(usize::from(step)) else {
-                    continue;
+        let mut capacity = self.usable_capacity(context);
+        let queue = std::mem::take(&mut self.ready_queue);
+        for (job, ready) in queue.iter() {
+            self.work.add(1);
+            for group in &ready.groups {
+                let Some(spec) = ready.spec.steps.get(usize::from(group.step)) else { continue };
+                let group = TaskGroup {
+                    job,
+                    occurrence: group.occurrence,
+                    step: group.step,
+                    spec,
+                    team: ready.team.as_ref(),
+                    reservation: group.reservation,
+                    max_attempts: ready.max_attempts,
                 };
-                let spec = spec.clone();
-                let team = team.clone();
-                let group = TaskGroup { job: &job, occurrence, step, spec, team, max_attempts };
-                if group.spec.gang {
-                    self.place_gang(context, &group);
+                if spec.gang {
+                    self.place_gang(context, &mut capacity, &group);
                 } else {
-                    self.place_group(context, &group);
+                    self.place_group(context, &mut capacity, &group);
                 }
             }
         }
+        self.ready_queue = queue;
     }
 
-    /// Lists the jobs that may start tasks, in the order of their ranks.
-    fn ranked_jobs(&self, context: &StepContext, config: &FleetConfig) -> Vec<(PlaceRank, JobId)> {
-        let mut ranked = Vec::new();
-        self.work.add(self.jobs.len());
-        for (name, job) in &self.jobs {
-            if job.ready.is_empty() || job.may_have_unknown_runs {
-                continue;
+    /// Updates the queue of ready jobs for the jobs that have changed.
+    fn rank_changed_jobs(&mut self, context: &StepContext, config: &FleetConfig) {
+        let wall_ms = context.clock.wall_ms;
+        self.work.add(self.ready_queue.demote_late_jobs(wall_ms));
+        // Jobs that were accepted through a removed queue are still placed, as long as
+        // another queue leads to the pool.
+        let has_queue = config.queues.iter().any(|queue| queue.pool == self.pool);
+        for job in self.jobs.take_unranked() {
+            self.work.add(1);
+            self.ready_queue.remove(&job);
+            let Some(owned) = self.jobs.get(&job) else { continue };
+            let queue = config.queue(&owned.queue);
+            if !owned.may_have_unknown_runs && (queue.is_some() || has_queue) {
+                self.ready_queue.insert(job, owned, queue, wall_ms);
             }
-            let queue = config.queue(&job.queue);
-            // Jobs that were accepted through a removed queue are still placed, as long as
-            // another queue leads to the pool.
-            if queue.is_none() && !config.queues.iter().any(|known| known.pool == self.pool) {
-                continue;
+        }
+    }
+
+    /// Lists the minions that may get tasks, with their free capacity.
+    fn usable_capacity(&self, context: &StepContext) -> PassCapacity {
+        let mut capacity = PassCapacity::default();
+        for (id, minion) in &self.minions {
+            self.work.add(1);
+            let is_evacuated =
+                context.shared.evacuated_data_centres.contains(&minion.report.data_centre);
+            if minion.is_usable(context.clock.now) && !is_evacuated {
+                capacity.add_minion(id.clone(), &minion.free_capacity());
             }
-            ranked.push((rank_job(job, queue, context.clock.wall_ms), name.clone()));
         }
-        ranked.sort();
-        ranked
+        capacity
     }
 
     /// Starts tasks of a group one by one, until none is left or no capacity is found.
-    fn place_group(&mut self, context: &mut StepContext, group: &TaskGroup) {
-        let reservation = reservation_for(&group.spec);
-        while let Some(index) = self.next_startable(group) {
-            if !self.limits.has_capacity(group.team.as_ref(), &reservation) {
-                return;
-            }
-            let Some(minion) = self.select_minion(context, group, &reservation, &BTreeMap::new())
-            else {
+    fn place_group(
+        &mut self,
+        context: &mut StepContext,
+        capacity: &mut PassCapacity,
+        group: &TaskGroup,
+    ) {
+        let label = group.spec.label.as_deref();
+        let may_start = |owner: &mut Self, capacity: &PassCapacity| {
+            owner.limits.has_capacity(group.team, &group.reservation)
+                && capacity.may_fit(&group.reservation, label)
+        };
+        if !may_start(self, capacity) {
+            return;
+        }
+        while let Some(index) = self.next_startable(group)
+            && may_start(self, capacity)
+        {
+            let Some(minion) = self.select_minion(capacity, group, &GangPlan::new()) else {
+                if group.spec.max_per_minion.is_none() {
+                    capacity.record_failed_search(&group.reservation, label);
+                }
                 return;
             };
             let run = self.next_run_number(group);
-            self.start_task(context, group, index, &minion, run);
+            self.start_task(context, capacity, group, index, &minion, run);
         }
     }
 
     /// Starts all tasks of a gang, or none.
-    fn place_gang(&mut self, context: &mut StepContext, group: &TaskGroup) {
-        let reservation = reservation_for(&group.spec);
+    fn place_gang(
+        &mut self,
+        context: &mut StepContext,
+        capacity: &mut PassCapacity,
+        group: &TaskGroup,
+    ) {
         let Some(job) = self.jobs.get(group.job) else { return };
         let indexes = job.ready.get(&(group.occurrence, group.step)).cloned().unwrap_or_default();
         if indexes.len() != group.spec.tasks as usize {
             return;
         }
         let mut total = Resources::default();
-        let mut planned: BTreeMap<MinionId, (Resources, u32)> = BTreeMap::new();
+        let mut planned = GangPlan::new();
         let mut chosen = Vec::with_capacity(indexes.len());
         for index in indexes {
-            total = total.saturating_add(&reservation);
-            if !self.limits.has_capacity(group.team.as_ref(), &total) {
+            total = total.saturating_add(&group.reservation);
+            if !self.limits.has_capacity(group.team, &total)
+                || !capacity.may_fit(&group.reservation, group.spec.label.as_deref())
+            {
                 return;
             }
-            let Some(minion) = self.select_minion(context, group, &reservation, &planned) else {
+            let Some(minion) = self.select_minion(capacity, group, &planned) else {
                 return;
             };
             let plan = planned.entry(minion.clone()).or_default();
-            plan.0 = plan.0.saturating_add(&reservation);
+            plan.0 = plan.0.saturating_add(&group.reservation);
             plan.1 += 1;
             chosen.push((index, minion));
         }
         let run = self.next_run_number(group);
         for (index, minion) in chosen {
-            self.start_task(context, group, index, &minion, run);
+            self.start_task(context, capacity, group, index, &minion, run);
         }
     }
 
@@ -173,49 +195,58 @@
         self.jobs.get_mut(group.job).map_or(RunNumber(0), |job| job.next_run_number(fencing_token))
     }
 
-    /// Selects the best minion for a task of the group. For a gang, `planned` holds the
-    /// resources and the number of tasks that are already planned on each minion.
+    /// Selects the best minion for a task of the group. For a gang, `planned` holds what is
+    /// already planned on each minion.
     fn select_minion(
         &self,
-        context: &StepContext,
+        capacity: &PassCapacity,
         group: &TaskGroup,
-        reservation: &Resources,
-        planned: &BTreeMap<MinionId, (Resources, u32)>,
+        planned: &GangPlan,
     ) -> Option<MinionId> {
-        let now = context.clock.now;
+        // The first minion that fits is the best one if free processor time alone decides.
+        let is_first_best =
+            group.spec.data_rack.is_none() && !group.spec.long_running && planned.is_empty();
         let mut best: Option<((bool, usize, u64), &MinionId)> = None;
-        self.work.add(self.minions.len());
-        for (id, minion) in &self.minions {
-            let (reserved, planned_tasks) = planned.get(id).copied().unwrap_or_default();
-            let free = minion.free_capacity().saturating_sub(&reserved);
-            let may_run = minion.is_usable(now)
-                && !context.shared.evacuated_data_centres.contains(&minion.report.data_centre)
-                && reservation.saturating_add(&reserved).fits_within(&minion.free_capacity())
-                && has_label(minion, group.spec.label.as_deref())
-                && self.is_within_spread_limit(group, id, planned_tasks);
-            if !may_run {
-                continue;
+        for (free, id) in capacity.minions() {
+            if free.0 < group.reservation.processor.0 {
+                break;
             }
-            let is_data_local = group.spec.data_rack.is_some()
-                && has_label(minion, group.spec.data_rack.as_deref());
-            let long_running_score =
-                if group.spec.long_running { self.count_long_running(minion) } else { 0 };
-            let score = ((is_data_local, long_running_score, free.processor.0), id);
-            if best.is_none_or(|best| score.0 > best.0) {
-                best = Some(score);
+            self.work.add(1);
+            let Some(score) = self.score_minion(group, id, planned) else { continue };
+            if is_first_best {
+                return Some(id.clone());
+            }
+            let is_better = |best: ((bool, usize, u64), &MinionId)| {
+                score > best.0 || (score == best.0 && id < best.1)
+            };
+            if best.is_none_or(is_better) {
+                best = Some((score, id));
             }
         }
         best.map(|(_, id)| id.clone())
     }
 
-    /// Counts a minion's long-running tasks for the choice of a minion. Such tasks are
-    /// gathered on few minions, so that the VMs of the others can be offered. A minion with
-    /// `MAX_GATHERED_TASKS` or more counts as 0, like one without such tasks.
-    fn count_long_running(&self, minion: &OwnedMinion) -> usize {
-        let is_long_running_task =
-            |key: &&RunKey| self.jobs.get(&key.0.job).is_some_and(|job| job.spec.is_long_running());
-        let count = minion.runs.keys().filter(is_long_running_task).count();
-        if count < MAX_GATHERED_TASKS { count } else { 0 }
+    /// Scores a minion for a task of the group: data rack, gathered long-running tasks, free
+    /// processor time. Returns `None` if the task may not run there.
+    fn score_minion(
+        &self,
+        group: &TaskGroup,
+        id: &MinionId,
+        planned: &GangPlan,
+    ) -> Option<(bool, usize, u64)> {
+        let minion = self.minions.get(id)?;
+        let (reserved, planned_tasks) = planned.get(id).copied().unwrap_or_default();
+        let free = minion.free_capacity();
+        let may_run = group.reservation.saturating_add(&reserved).fits_within(&free)
+            && has_label(minion, group.spec.label.as_deref())
+            && self.is_within_spread_limit(group, id, planned_tasks);
+        if !may_run {
+            return None;
+        }
+        let data_rack = group.spec.data_rack.as_deref();
+        let is_data_local = data_rack.is_some() && has_label(minion, data_rack);
+        let long_running_score = if group.spec.long_running { gathering_score(minion) } else { 0 };
+        Some((is_data_local, long_running_score, free.saturating_sub(&reserved).processor.0))
     }
 
     /// Whether one more task of the group on a minion stays within the step's maximum for
@@ -230,6 +261,7 @@
     fn start_task(
         &mut self,
         context: &mut StepContext,
+        capacity: &mut PassCapacity,
         group: &TaskGroup,
         index: u32,
         id: &MinionId,
@@ -238,7 +270,7 @@
         let now = context.clock.now;
         let position: TaskPosition = (group.occurrence, group.step, index);
         let task = task_name(group.job, position);
-        let reservation = reservation_for(&group.spec);
+        let reservation = group.reservation;
         let (Some(minion), Some(job)) = (self.minions.get_mut(id), self.jobs.get_mut(group.job))
         else {
             return;
@@ -255,22 +287,25 @@
             context.shared.config.as_ref().map_or(0, |config| config.version),
         );
         context.out.log("start", &task, inputs, id.to_string());
+        let free_before = minion.free_capacity();
         minion.insert_run(
             (task.clone(), run),
             MinionRun {
                 phase: RunPhase::Starting { until_clock },
-                team: group.team.clone(),
+                team: group.team.cloned(),
                 reservation,
+                is_long_running: job.spec.is_long_running(),
                 percent: 0,
                 reported_metric: None,
                 processor_share: 100,
                 confirmed_at: now,
             },
         );
+        capacity.update_minion(id, &free_before, &minion.free_capacity());
         job.remove_ready(position);
         job.live.insert(position, LiveRun { minion: id.clone(), run });
         job.mark_active(now);
-        self.limits.record_use(group.team.as_ref(), &reservation);
+        self.limits.record_use(group.team, &reservation);
         let order = MinionCall::Start {
             task: task.clone(),
             run,
@@ -291,18 +326,10 @@
     label.is_none_or(|label| minion.report.labels.iter().any(|known| &**known == label))
 }
 
-/// Computes a job's rank at `wall_ms`, in milliseconds since 1970.
-fn rank_job(job: &super::job::OwnedJob, queue: Option<&QueueConfig>, wall_ms: u64) -> PlaceRank {
-    let priority = queue.map_or(u32::MAX, |queue| queue.priority);
-    let objective_ms = queue.map_or(u64::MAX, |queue| job.objective_ms(queue));
-    let remaining = job.spec.remaining_critical_path(&job.progress, job.next_occurrence());
-    let latest_start_ms = objective_ms.saturating_sub(remaining.0);
-    let class = if job.spec.is_long_running() {
-        RankClass::LongRunning
-    } else if wall_ms <= latest_start_ms {
-        RankClass::OnTime
-    } else {
-        RankClass::Late
-    };
-    PlaceRank { class, priority, latest_start_ms }
+/// Scores a minion's long-running tasks for the choice of a minion. Such tasks are gathered
+/// on few minions, so that the VMs of the others can be offered. A minion with
+/// `MAX_GATHERED_TASKS` or more scores 0, like one without such tasks.
+fn gathering_score(minion: &OwnedMinion) -> usize {
+    let count = minion.long_running_runs;
+    if count < MAX_GATHERED_TASKS { count } else { 0 }
 }
--- /dev/null
+++ b/crates/fleet/src/pool/ready_queue.rs
@@ -0,0 +1,141 @@
+//! Jobs with tasks that may start, in the order of placement.
+//!
+//! A job is ranked when it changes. The passing of time alone changes a rank only once, when
+//! the job can no longer meet its objective.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use jobs::{JobSpec, Resources};
+use state::{JobId, TeamId};
+
+use super::job::OwnedJob;
+use super::placement::reservation_for;
+use crate::model::QueueConfig;
+
+/// Order in which jobs are placed; lower ranks come first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct PlaceRank {
+    class: RankClass,
+    priority: u32,
+    /// Latest time at which the rest of the job must start to meet the objective, in
+    /// milliseconds since 1970.
+    latest_start_ms: u64,
+}
+
+/// Class of a job, in the order of placement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum RankClass {
+    LongRunning,
+    OnTime,
+    Late,
+}
+
+/// Ready tasks of one occurrence's step.
+#[derive(Debug)]
+pub(super) struct ReadyGroup {
+    pub(super) occurrence: u32,
+    pub(super) step: u16,
+    /// Resources that each task reserves.
+    pub(super) reservation: Resources,
+}
+
+/// Job with tasks that may start.
+#[derive(Debug)]
+pub(super) struct ReadyJob {
+    pub(super) spec: Arc<JobSpec>,
+    pub(super) team: Option<TeamId>,
+    /// Maximum number of failures of each task.
+    pub(super) max_attempts: u32,
+    pub(super) groups: Box<[ReadyGroup]>,
+}
+
+/// Jobs with tasks that may start, by rank.
+#[derive(Debug, Default)]
+pub(super) struct ReadyQueue {
+    jobs: BTreeMap<(PlaceRank, JobId), ReadyJob>,
+    ranks: BTreeMap<JobId, PlaceRank>,
+    /// Jobs of class [`RankClass::OnTime`] by their latest start.
+    on_time: BTreeSet<(u64, JobId)>,
+}
+
+impl ReadyQueue {
+    /// Returns the jobs in the order of placement.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&JobId, &ReadyJob)> {
+        self.jobs.iter().map(|((_, job), ready)| (job, ready))
+    }
+
+    /// Removes a job, if it is in the queue.
+    pub(super) fn remove(&mut self, job: &JobId) {
+        let Some(rank) = self.ranks.remove(job) else { return };
+        self.on_time.remove(&(rank.latest_start_ms, job.clone()));
+        self.jobs.remove(&(rank, job.clone()));
+    }
+
+    /// Adds a job whose ready tasks are to be placed.
+    pub(super) fn insert(
+        &mut self,
+        job: JobId,
+        owned: &OwnedJob,
+        queue: Option<&QueueConfig>,
+        wall_ms: u64,
+    ) {
+        let max_attempts = queue.map_or(u32::MAX, |queue| queue.max_attempts);
+        let groups = list_ready_groups(owned, max_attempts);
+        if groups.is_empty() {
+            return;
+        }
+        let rank = rank_job(owned, queue, wall_ms);
+        if rank.class == RankClass::OnTime {
+            self.on_time.insert((rank.latest_start_ms, job.clone()));
+        }
+        let (spec, team) = (Arc::clone(&owned.spec), owned.team.clone());
+        self.ranks.insert(job.clone(), rank);
+        self.jobs.insert((rank, job), ReadyJob { spec, team, max_attempts, groups });
+    }
+
+    /// Moves the jobs that can no longer meet their objective to the late ones, and returns
+    /// the number of moved jobs.
+    pub(super) fn demote_late_jobs(&mut self, wall_ms: u64) -> usize {
+        let mut count = 0;
+        while self.on_time.first().is_some_and(|(latest_start_ms, _)| *latest_start_ms < wall_ms)
+            && let Some((_, job)) = self.on_time.pop_first()
+        {
+            count += 1;
+            let Some(rank) = self.ranks.get_mut(&job) else { continue };
+            let Some(ready) = self.jobs.remove(&(*rank, job.clone())) else { continue };
+            rank.class = RankClass::Late;
+            self.jobs.insert((*rank, job), ready);
+        }
+        count
+    }
+}
+
+/// Lists a job's groups of ready tasks with at least one task that has attempts left.
+fn list_ready_groups(owned: &OwnedJob, max_attempts: u32) -> Box<[ReadyGroup]> {
+    let to_group = |(&(occurrence, step), tasks): (&(u32, u16), &Vec<u32>)| {
+        let spec = owned.spec.steps.get(usize::from(step))?;
+        let may_start = |index: &u32| {
+            spec.long_running || owned.has_attempts_left((occurrence, step, *index), max_attempts)
+        };
+        let reservation = reservation_for(spec);
+        tasks.iter().any(may_start).then_some(ReadyGroup { occurrence, step, reservation })
+    };
+    owned.ready.iter().filter_map(to_group).collect()
+}
+
+/// Computes a job's rank at `wall_ms`, in milliseconds since 1970.
+fn rank_job(job: &OwnedJob, queue: Option<&QueueConfig>, wall_ms: u64) -> PlaceRank {
+    let priority = queue.map_or(u32::MAX, |queue| queue.priority);
+    let objective_ms = queue.map_or(u64::MAX, |queue| job.objective_ms(queue));
+    let remaining = job.spec.remaining_critical_path(&job.progress, job.next_occurrence());
+    let latest_start_ms = objective_ms.saturating_sub(remaining.0);
+    let class = if job.spec.is_long_running() {
+        RankClass::LongRunning
+    } else if wall_ms <= latest_start_ms {
+        RankClass::OnTime
+    } else {
+        RankClass::Late
+    };
+    PlaceRank { class, priority, latest_start_ms }
+}
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -21,6 +21,8 @@
 const OWNER_AND_ROSTER_ROWS: usize = 3;
 /// Maximum number of rows of a commit for one job.
 const MAX_ROWS_PER_JOB: usize = 5;
+/// Maximum number of jobs whose changes one commit saves.
+const MAX_JOBS_PER_COMMIT: usize = MAX_COMMIT_ROWS / 2;
 /// Number of removed jobs that are remembered, so that a late watch answer does not
 /// register them again.
 const MAX_REMEMBERED_REMOVALS: usize = 10_000;
@@ -102,20 +104,15 @@
         if self.save.in_flight.is_some() || context.clock.now < self.save.next_commit_at {
             return;
         }
-        self.work.add(self.jobs.len());
-        let dirty: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.is_dirty(context.clock.now))
-            .map(|(name, _)| name.clone())
-            .collect();
+        let (dirty, mut includes_all_jobs) =
+            self.jobs.jobs_to_save(context.clock.now, MAX_JOBS_PER_COMMIT);
+        self.work.add(dirty.len());
         if dirty.is_empty() && !self.save.is_roster_dirty && !self.save.has_new_ends {
             return;
         }
         let mut commit = StoreCommit::default();
         let mut in_flight = InFlightSave { jobs: BTreeMap::new(), roster: None };
         commit.expect.push((self.owner_key(), self.fencing_token));
-        let mut includes_all_jobs = true;
         for job in dirty {
             if commit.rows() + MAX_ROWS_PER_JOB + OWNER_AND_ROSTER_ROWS > MAX_COMMIT_ROWS {
                 includes_all_jobs = false;
@@ -233,9 +230,16 @@
         self.save.roster_revision = revision;
         for (id, row) in roster.minions {
             let Some(minion) = self.minions.get_mut(&id) else { continue };
-            if minion.report.minion_incarnation == row.minion_incarnation {
+            if minion.report.minion_incarnation != row.minion_incarnation {
+                continue;
+            }
+            if !minion.is_in_roster {
                 minion.is_in_roster = true;
-                minion.saved_end = minion.saved_end.max(row.saved_end);
+                self.pass.request();
+            }
+            if row.saved_end > minion.saved_end {
+                minion.saved_end = row.saved_end;
+                self.hold_queue.add(&id);
             }
         }
     }
--- a/crates/fleet/src/pool/work.rs
+++ b/crates/fleet/src/pool/work.rs
@@ -12,6 +12,11 @@
         self.0.set(self.0.get() + items as u64);
     }
 
+    /// Returns the count.
+    pub(super) fn count(&self) -> u64 {
+        self.0.get()
+    }
+
     /// Returns the count and resets it.
     pub(super) fn take(&self) -> u64 {
         self.0.take()
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -180,6 +180,8 @@
     pub accepted_count: u64,
     /// Number of submissions that were answered as not done.
     pub refused_count: u64,
+    /// Number of events that the daemons have processed.
+    pub event_count: u64,
     /// Messages with the daemon and its incarnation, by delivery time and sequence number.
     messages: BTreeMap<(u64, u64), (usize, u64, Message)>,
     last_sequence: u64,
@@ -211,6 +213,7 @@
             faults: ActiveFaults::default(),
             accepted_count: 0,
             refused_count: 0,
+            event_count: 0,
             messages: BTreeMap::new(),
             last_sequence: 0,
             last_reply_token: 0,
@@ -256,6 +259,12 @@
         self.daemons[daemon].core.is_some()
     }
 
+    /// Returns how many jobs, minions and runs the running daemons have examined.
+    pub fn placement_checks(&self) -> u64 {
+        let cores = self.daemons.iter().filter_map(|daemon| daemon.core.as_ref());
+        cores.map(FleetCore::placement_checks).sum()
+    }
+
     pub fn suspend_daemon(&mut self, daemon: usize, duration: u64) {
         self.daemons[daemon].suspended_until = self.now + duration;
     }
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -103,6 +103,7 @@
         }
         let Some(core) = daemon_state.core.as_mut() else { return };
         let clock = Clock { now: Moment(self.now), wall_ms: WALL_CLOCK_OFFSET_MS + self.now };
+        self.event_count += 1;
         for effect in core.step(clock, event) {
             self.apply_effect(daemon, incarnation, effect);
         }
