Merges the owner's indexes; saves take turns among changed jobs

Resolves saving and quota with the indexes of changed jobs. A commit continues after the job that was saved last, since the index is ordered by name and the jobs with the highest names would wait while more change than a commit holds.

--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -23,6 +23,8 @@
 const OWNER_AND_ROSTER_ROWS: usize = 3;
 /// Maximum number of rows of a commit for one job.
 const MAX_ROWS_PER_JOB: usize = 5;
+/// Maximum number of jobs whose changes one commit saves.
+const MAX_JOBS_PER_COMMIT: usize = MAX_COMMIT_ROWS / 2;
 /// Number of removed jobs that are remembered, so that a late watch answer does not
 /// register them again.
 const MAX_REMEMBERED_REMOVALS: usize = 10_000;
@@ -55,6 +57,8 @@
     pub(super) is_roster_dirty: bool,
     /// Whether finished runs were processed that the stored roster does not cover.
     pub(super) has_new_ends: bool,
+    /// Job that was added last to a commit; the next commit continues after it.
+    last_saved: Option<JobId>,
     /// Jobs whose records were removed.
     removed: BTreeSet<JobId>,
     /// Removed jobs, oldest first.
@@ -104,12 +108,9 @@
         if self.save.in_flight.is_some() || context.clock.now < self.save.next_commit_at {
             return;
         }
-        let dirty: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.is_dirty(context.clock.now))
-            .map(|(name, _)| name.clone())
-            .collect();
+        let last_saved = self.save.last_saved.as_ref();
+        let dirty = self.jobs.jobs_to_save(context.clock.now, MAX_JOBS_PER_COMMIT, last_saved);
+        self.work.add(dirty.len());
         if dirty.is_empty() && !self.save.is_roster_dirty && !self.save.has_new_ends {
             return;
         }
@@ -121,6 +122,7 @@
                 break;
             }
             let saved = self.add_job_writes(context.clock.now, &mut commit, &job);
+            self.save.last_saved = Some(job.clone());
             in_flight.jobs.insert(job, saved);
         }
         if self.save.is_roster_dirty || self.save.has_new_ends {
@@ -144,6 +146,7 @@
     /// Builds the roster: minions that have answered this owner, and minions of the stored
     /// roster that may still execute tasks of an earlier owner.
     fn build_roster(&self) -> PoolRoster {
+        self.work.add(self.minions.len());
         let mut minions: BTreeMap<MinionId, RosterRow> = self.stage.unconfirmed_minions.clone();
         for (id, minion) in &self.minions {
             if minion.is_fenced {
@@ -243,10 +246,17 @@
         self.save.roster_revision = revision;
         for (id, row) in roster.minions {
             let Some(minion) = self.minions.get_mut(&id) else { continue };
-            if minion.report.minion_incarnation == row.minion_incarnation {
+            if minion.report.minion_incarnation != row.minion_incarnation {
+                continue;
+            }
+            if !minion.is_in_roster {
                 minion.is_in_roster = true;
-                minion.saved_end = minion.saved_end.max(row.saved_end);
-                minion.unsaved_ends.remove_saved(minion.saved_end);
+                self.pass.request();
+            }
+            if row.saved_end > minion.saved_end {
+                minion.saved_end = row.saved_end;
+                minion.unsaved_ends.remove_saved(row.saved_end);
+                self.hold_queue.add(&id);
             }
         }
     }
@@ -256,7 +266,8 @@
     fn mark_unsaved(&mut self, in_flight: InFlightSave) {
         for (name, saved) in in_flight.jobs {
             let Some(job) = self.jobs.get_mut(&name) else { continue };
-            job.is_progress_dirty |= saved.has_progress;
+            // The removal of a job's records also stands for its last progress.
+            job.is_progress_dirty |= saved.has_progress || saved.is_removed;
             job.is_phase_dirty |= saved.has_phase;
         }
         if in_flight.roster.is_some() {
