Lease renewals no longer wait behind an owner's other work

Cause: renewals were sent on ticks only, and ticks, answers to renewals and all answers of minions shared one call thread, in one line, behind a lock that is not fair. With more events than the processor executes, the renewal or its answer waited longer than the lease.

Evidence: the seeded simulation has a processor model now (each event and each call costs virtual time, events wait).

Change: the renewal is sent on any event that finds it due, counted from the last one sent. Ticks and lease calls have a thread of their own, which gets the state machine before all others (PriorityLock).

--- a/crates/daemon/src/runtime/host.rs
+++ b/crates/daemon/src/runtime/host.rs
@@ -20,6 +20,7 @@
 
 use super::delay::StepTotals;
 use super::metrics::{MetricsRegistry, event_label};
+use super::priority_lock::{LockPriority, PriorityLock};
 
 /// Writes an answer to a request in the caller's protocol.
 pub type AnswerWriter = fn(Request, &ClientAnswer);
@@ -31,11 +32,19 @@
     received_at: Moment,
 }
 
+/// Channels to the threads that make outgoing calls.
+pub struct CallSenders {
+    /// Calls that maintain the daemon's lease. Their thread makes no other calls, so that an
+    /// answer never waits behind answers to orders.
+    pub lease: CallSender,
+    /// All other calls.
+    pub ordinary: CallSender,
+}
+
 /// State machine, settings and pending requests, shared by all threads of the daemon.
 pub struct FleetHost {
-    core: Mutex<FleetCore>,
-    /// Channel to the thread that makes outgoing calls.
-    call_sender: CallSender,
+    core: PriorityLock<FleetCore>,
+    call_senders: CallSenders,
     settings: RwLock<Arc<PlatformSettings>>,
     pending_requests: Mutex<BTreeMap<ReplyToken, PendingRequest>>,
     decision_lines: Sender<DecisionLine>,
@@ -51,13 +60,13 @@
 impl FleetHost {
     pub fn new(
         settings: PlatformSettings,
-        call_sender: CallSender,
+        call_senders: CallSenders,
         decision_lines: Sender<DecisionLine>,
         exit_sender: Sender<()>,
     ) -> Self {
         Self {
-            core: Mutex::new(FleetCore::new(settings.fleet.clone())),
-            call_sender,
+            core: PriorityLock::new(FleetCore::new(settings.fleet.clone())),
+            call_senders,
             settings: RwLock::new(Arc::new(settings)),
             pending_requests: Mutex::new(BTreeMap::new()),
             decision_lines,
@@ -113,25 +122,40 @@
     /// Calls are sent while the lock is held, so that orders to a minion keep their sequence;
     /// answers to submitters are sent after the lock is released.
     pub fn post(self: &Arc<Self>, event: Event) {
+        self.post_with_priority(LockPriority::Ordinary, event);
+    }
+
+    /// Like [`Self::post`], before all events that wait there for the state machine.
+    pub fn post_urgent(self: &Arc<Self>, event: Event) {
+        self.post_with_priority(LockPriority::Urgent, event);
+    }
+
+    fn post_with_priority(self: &Arc<Self>, priority: LockPriority, event: Event) {
         let mut replies = Vec::new();
-        let kind = event_label(&event);
-        {
-            let mut core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
-            let step_start = Instant::now();
-            let clock = Clock { now: read_clock(), wall_ms: read_wall_clock_ms() };
-            for effect in core.step(clock, event) {
-                self.apply_effect(effect, &mut replies);
-            }
-            self.is_ready.store(core.is_ready(), Ordering::Relaxed);
-            let step_duration = step_start.elapsed();
-            self.metrics.record_step(kind, step_duration);
-            self.step_totals.add_step(step_duration);
-        }
+        self.core.with(priority, |core| self.step(core, event, &mut replies));
         for (token, answer) in replies {
             self.send_answer(token, &answer);
         }
     }
 
+    fn step(
+        self: &Arc<Self>,
+        core: &mut FleetCore,
+        event: Event,
+        replies: &mut Vec<(ReplyToken, ClientAnswer)>,
+    ) {
+        let kind = event_label(&event);
+        let step_start = Instant::now();
+        let clock = Clock { now: read_clock(), wall_ms: read_wall_clock_ms() };
+        for effect in core.step(clock, event) {
+            self.apply_effect(effect, replies);
+        }
+        self.is_ready.store(core.is_ready(), Ordering::Relaxed);
+        let step_duration = step_start.elapsed();
+        self.metrics.record_step(kind, step_duration);
+        self.step_totals.add_step(step_duration);
+    }
+
     fn apply_effect(
         self: &Arc<Self>,
         effect: Effect,
@@ -160,13 +184,18 @@
         let host = Arc::clone(self);
         let sent_at = read_clock();
         let encoded_call = platform::encode_store_call(self.settings().store_address, &request);
-        self.call_sender.send(encoded_call, move |answer| {
+        let is_lease_call = request.is_lease_call();
+        let sender =
+            if is_lease_call { &self.call_senders.lease } else { &self.call_senders.ordinary };
+        sender.send(encoded_call, move |answer| {
             if let Ok(response) = &answer {
                 host.metrics.record_store_answer_length(&request, response.body.len());
             }
             let answer = platform::decode_store_answer(&request, answer);
             host.metrics.record_store_answer(&request, &answer, read_clock() - sent_at);
-            host.post(Event::Store(call, answer));
+            let priority =
+                if is_lease_call { LockPriority::Urgent } else { LockPriority::Ordinary };
+            host.post_with_priority(priority, Event::Store(call, answer));
         });
     }
 
@@ -180,7 +209,7 @@
         let host = Arc::clone(self);
         let sent_at = read_clock();
         let encoded_call = platform::encode_minion_call(target, fencing_token, &order);
-        self.call_sender.send(encoded_call, move |answer| {
+        self.call_senders.ordinary.send(encoded_call, move |answer| {
             let answer = platform::decode_minion_answer(&order, answer);
             host.metrics.record_order_answer(&order, &answer, read_clock() - sent_at);
             host.post(Event::Minion(call, answer));
@@ -204,7 +233,7 @@
         let host = Arc::clone(self);
         let encoded_call =
             platform::encode_cloud_call(address, &settings.fleet.daemon, &request, page.as_deref());
-        self.call_sender.send(encoded_call, move |answer| {
+        self.call_senders.ordinary.send(encoded_call, move |answer| {
             if request != CloudCall::List {
                 return host.post(Event::Cloud(call, platform::decode_cloud_order_answer(answer)));
             }
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -1,14 +1,17 @@
 //! Runs the daemon on the users' platform.
 //!
-//! One thread makes all outgoing calls and posts clock ticks. A thread with an event steps the
-//! state machine ([`fleet::FleetCore`]) behind a lock. Submitters' requests wait in a table and
-//! occupy no thread. Log lines go over a bounded channel; lines are dropped
-//! and counted when the channel is full (`docs/PLATFORM.md`, "Programs").
+//! One thread posts clock ticks and makes the calls that maintain the daemon's lease; another
+//! makes all other calls, so that a renewal never waits behind orders. A thread with an event
+//! steps the state machine ([`fleet::FleetCore`]) behind a lock, the first of the two threads
+//! before all others. Submitters' requests wait in a table and occupy no thread. Log lines go
+//! over a bounded channel; lines are dropped and counted when the channel is full
+//! (`docs/PLATFORM.md`, "Programs").
 
 mod decision_log;
 mod delay;
 mod host;
 mod metrics;
+mod priority_lock;
 mod probes;
 mod queues;
 mod reload;
@@ -22,12 +25,15 @@
 use eyre::{Context, Result, eyre};
 use platform::{PlatformSettings, SETTINGS_VARIABLE, parse_settings};
 use state::Incarnation;
+use transport::CallSender;
 
 use delay::TickMonitor;
-use host::FleetHost;
+use host::{CallSenders, FleetHost};
 
 /// Path of the settings file when the environment variable [`SETTINGS_VARIABLE`] is not set.
 const DEFAULT_SETTINGS_PATH: &str = "/etc/pollenfall/node.conf";
+/// Interval of a tick that nothing uses.
+const UNUSED_TICK_INTERVAL: Duration = Duration::from_secs(3_600);
 /// How often timeouts are checked; all other work is driven by events.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -62,16 +68,17 @@
     let (exit_sender, exit_receiver) = bounded(1);
     let (host_sender, host_receiver) = bounded(1);
     let host_settings = settings.clone();
-    let call_thread = std::thread::Builder::new().name("calls".into()).spawn(move || {
+    let ordinary_calls = start_call_thread()?;
+    let lease_thread = std::thread::Builder::new().name("lease".into()).spawn(move || {
         let host = std::cell::OnceCell::new();
         let mut tick_monitor = TickMonitor::new(TICK_INTERVAL);
         transport::run_call_client(
             TICK_INTERVAL,
             || post_tick(&host, &mut tick_monitor),
-            |call_sender| {
+            |lease_calls| {
                 let new_host = Arc::new(FleetHost::new(
                     host_settings,
-                    call_sender,
+                    CallSenders { lease: lease_calls, ordinary: ordinary_calls },
                     decision_lines,
                     exit_sender,
                 ));
@@ -80,8 +87,9 @@
             },
         )
     });
-    call_thread.wrap_err("cannot start the call thread")?;
-    let host = host_receiver.recv().wrap_err("the call thread ended before it created the host")?;
+    lease_thread.wrap_err("cannot start the lease thread")?;
+    let host =
+        host_receiver.recv().wrap_err("the lease thread ended before it created the host")?;
     tracing::info!(daemon = %settings.fleet.daemon, incarnation = %incarnation,
         submitters = %settings.submitter_address, store = %settings.store_address, "started");
     reload::start(&host).wrap_err("signals")?;
@@ -93,9 +101,21 @@
     Ok(())
 }
 
+/// Starts the thread that makes all outgoing calls but those that maintain the lease.
+fn start_call_thread() -> Result<CallSender> {
+    let (sender, receiver) = bounded(1);
+    let builder = std::thread::Builder::new().name("calls".into());
+    let thread = builder.spawn(move || {
+        let on_start = |call_sender| drop(sender.send(call_sender));
+        transport::run_call_client(UNUSED_TICK_INTERVAL, || {}, on_start)
+    });
+    thread.wrap_err("cannot start the call thread")?;
+    receiver.recv().wrap_err("the call thread ended before it accepted calls")
+}
+
 /// Posts a clock tick and records by how much it came late.
 fn post_tick(host: &std::cell::OnceCell<Arc<FleetHost>>, tick_monitor: &mut TickMonitor) {
     let Some(host) = host.get() else { return };
     tick_monitor.on_tick(&host.step_totals, &host.metrics);
-    host.post(fleet::Event::Tick);
+    host.post_urgent(fleet::Event::Tick);
 }
--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -65,6 +65,7 @@
 
     /// Processes one event and returns the effects that the caller carries out.
     pub fn step(&mut self, clock: Clock, event: Event) -> Vec<Effect> {
+        self.session.maintain_lease(clock, &mut self.out);
         match event {
             Event::Tick => self.handle_tick(clock),
             Event::Client(call) => self.intake.on_call(clock, &mut self.out, &self.shared, call),
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -120,6 +120,14 @@
     EndLease(LeaseId),
 }
 
+impl StoreCall {
+    /// Whether the daemon's ownership of its shards depends on a timely answer, so that
+    /// neither the call nor its answer may wait behind other work.
+    pub fn is_lease_call(&self) -> bool {
+        matches!(self, Self::Lease(_) | Self::Renew(_) | Self::EndLease(_))
+    }
+}
+
 /// Answer of the store.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoreAnswer {
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -108,18 +108,17 @@
         shared: &SharedRecords,
         owned_count: usize,
     ) {
-        if self.is_closing {
-            return;
-        }
-        if !self.is_call_in_flight && clock.now >= self.next_call_at {
-            self.open_or_renew_lease(clock, out);
-        }
-        if self.is_valid(clock.now) && shared.is_loaded() {
+        if !self.is_closing && self.is_valid(clock.now) && shared.is_loaded() {
             self.acquire_free_shards(clock, out, shared, owned_count);
         }
     }
 
-    fn open_or_renew_lease(&mut self, clock: Clock, out: &mut Outbox) {
+    /// Opens or renews the lease if that is due. Runs before every event, so that a renewal
+    /// never waits for a tick behind other events.
+    pub(crate) fn maintain_lease(&mut self, clock: Clock, out: &mut Outbox) {
+        if self.is_closing || self.is_call_in_flight || clock.now < self.next_call_at {
+            return;
+        }
         self.is_call_in_flight = true;
         let (call, request) = match self.lease {
             Some(lease) => (SessionCall::Renew(lease.id), StoreCall::Renew(lease.id)),
@@ -243,7 +242,7 @@
                     Some(_) => {}
                 }
                 self.lease = Some(Lease { id, valid_until: sent_at + validity });
-                self.next_call_at = clock.now + SESSION_RENEWAL_INTERVAL;
+                self.next_call_at = sent_at + SESSION_RENEWAL_INTERVAL;
             }
             StoreAnswer::Absent => {
                 out.log("session", &self.daemon, "the store has no such lease", "lost");
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -7,6 +7,7 @@
 mod checker;
 mod cloud;
 mod minion;
+mod overload;
 mod seeded_runs;
 mod simulation;
 mod store;
--- a/crates/fleet/tests/rules/seeded_runs.rs
+++ b/crates/fleet/tests/rules/seeded_runs.rs
@@ -17,9 +17,9 @@
 use crate::cloud::FakeVm;
 use crate::simulation::{PlannedJob, Simulation};
 
-const DAEMON_COUNT: usize = 3;
-const POOL_COUNT: usize = 2;
-const MINIONS_PER_POOL: usize = 4;
+pub const DAEMON_COUNT: usize = 3;
+pub const POOL_COUNT: usize = 2;
+pub const MINIONS_PER_POOL: usize = 4;
 const SPARE_VM_COUNT: usize = 3;
 /// Number of seeds of each case, unless the environment variable SEEDS or SEED is set.
 const SEEDS_PER_FAULT: u64 = 20;
@@ -32,7 +32,7 @@
 /// Virtual time at which a run ends, after a period without faults.
 const RUN_END_MS: u64 = 75_000;
 
-fn build_config() -> FleetConfig {
+pub fn build_config() -> FleetConfig {
     let mut pools = BTreeMap::new();
     let mut queues = Vec::new();
     for pool in 0..POOL_COUNT {
@@ -66,7 +66,7 @@
     FleetConfig { version: 1, queues, pools, teams: vec![team(0), team(1)] }
 }
 
-fn build_report(pool: usize, number: usize) -> MinionReport {
+pub fn build_report(pool: usize, number: usize) -> MinionReport {
     MinionReport {
         minion: format!("i-{pool}{number}").parse().expect("valid name"),
         minion_incarnation: 1 + number as u64,
@@ -213,22 +213,22 @@
 ];
 
 /// Batch of jobs of one step for the first queue.
-struct JobBatch {
+pub struct JobBatch {
     /// Number of jobs.
-    jobs: u64,
+    pub jobs: u64,
     /// Number of tasks of each job.
-    tasks: u32,
+    pub tasks: u32,
     /// Processor demand of each task.
-    processor: Millicores,
+    pub processor: Millicores,
     /// Time from now to the first submission, in milliseconds.
-    first_delay: u64,
+    pub first_delay: u64,
     /// Time between two submissions, in milliseconds.
-    interval: u64,
+    pub interval: u64,
 }
 
 /// Plans the jobs of a batch. Each job is drawn at random, but has only one step, whose number
 /// of tasks and processor demand are those of the batch.
-fn submit_batch(simulation: &mut Simulation, batch: &JobBatch) {
+pub fn submit_batch(simulation: &mut Simulation, batch: &JobBatch) {
     for number in 0..batch.jobs {
         let (team, mut spec) = generate_job(simulation, false);
         spec.steps.truncate(1);
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -6,6 +6,7 @@
 
 mod delivery;
 mod environment;
+mod processor;
 mod submitters;
 
 use std::collections::BTreeMap;
@@ -28,6 +29,8 @@
 use crate::cloud::{CloudEvent, FakeCloud, FakeVm};
 use crate::minion::{FakeMinion, MinionEvent};
 use crate::store::MemoryStore;
+use processor::Processor;
+pub use processor::ProcessorCost;
 
 /// Time of day at which the virtual clock is 0, in milliseconds since the Unix epoch.
 pub const WALL_CLOCK_OFFSET_MS: u64 = 1_700_000_000_000;
@@ -69,6 +72,7 @@
     incarnation: u64,
     /// Virtual time, in milliseconds, until which the process is suspended.
     suspended_until: u64,
+    processor: Processor,
 }
 
 /// Entry of the message queue.
@@ -97,6 +101,8 @@
         request: CloudCall,
     },
     Answer(Box<Event>),
+    /// The processor has executed a step with these effects.
+    StepEnds(Box<[Effect]>),
     Submit {
         job: JobId,
     },
@@ -176,6 +182,8 @@
     pub config: FleetConfig,
     pub checker: RuleChecker,
     pub faults: ActiveFaults,
+    /// Processor time that events cost; `None` if steps take no time.
+    pub processor_cost: Option<ProcessorCost>,
     /// Number of submissions that a daemon accepted.
     pub accepted_count: u64,
     /// Number of submissions that were answered as not done.
@@ -209,6 +217,7 @@
             config: config.clone(),
             checker: RuleChecker::default(),
             faults: ActiveFaults::default(),
+            processor_cost: None,
             accepted_count: 0,
             refused_count: 0,
             messages: BTreeMap::new(),
@@ -224,7 +233,12 @@
         };
         simulation.store.put(StoreKey::Config, ItemValue::Config(config.into()), None);
         for daemon in 0..daemons {
-            simulation.daemons.push(Daemon { core: None, incarnation: 0, suspended_until: 0 });
+            simulation.daemons.push(Daemon {
+                core: None,
+                incarnation: 0,
+                suspended_until: 0,
+                processor: Processor::default(),
+            });
             simulation.start_daemon(daemon);
         }
         simulation
@@ -243,6 +257,7 @@
         };
         daemon_state.core = Some(FleetCore::new(settings));
         daemon_state.suspended_until = 0;
+        daemon_state.processor = Processor::default();
         let incarnation = daemon_state.incarnation;
         let jitter = self.rng.random_range(0..TICK_INTERVAL_MS);
         self.schedule(jitter, daemon, incarnation, Message::Tick);
@@ -313,6 +328,10 @@
         self.now = self.now.max(until);
     }
 
+    fn read_clocks(&self) -> Clock {
+        Clock { now: Moment(self.now), wall_ms: WALL_CLOCK_OFFSET_MS + self.now }
+    }
+
     fn record_violation(&mut self, rule: &'static str, description: String) {
         self.checker.violations.push(Violation { at_ms: self.now, rule, description });
     }
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -51,6 +51,7 @@
                 let redelivery = Message::Answer(event.clone());
                 self.step_daemon(daemon, incarnation, *event, &redelivery);
             }
+            Message::StepEnds(effects) => self.end_step(daemon, incarnation, effects),
             Message::StoreCallArrives { call, request, is_lost } => {
                 self.execute_store_call(daemon, incarnation, call, request, is_lost);
             }
@@ -101,8 +102,11 @@
             }
             return;
         }
-        let Some(core) = daemon_state.core.as_mut() else { return };
-        let clock = Clock { now: Moment(self.now), wall_ms: WALL_CLOCK_OFFSET_MS + self.now };
+        if let Some(cost) = self.processor_cost {
+            return self.queue_event(daemon, cost, event);
+        }
+        let clock = self.read_clocks();
+        let Some(core) = self.daemons[daemon].core.as_mut() else { return };
         for effect in core.step(clock, event) {
             self.apply_effect(daemon, incarnation, effect);
         }
--- a/crates/fleet/tests/rules/store.rs
+++ b/crates/fleet/tests/rules/store.rs
@@ -8,7 +8,7 @@
     ItemValue, LeaseId, PutValue, StoreAnswer, StoreCall, StoreCommit, StoreEvent, StoreItem,
 };
 use fleet::model::WavePhase;
-use fleet::{KeyScope, OwnKey, StoreKey};
+use fleet::{KeyScope, OwnKey, ShardKey, StoreKey};
 use state::{Millis, Revision};
 
 /// Maximum number of items on a page; small, so that the runs need several pages.
@@ -28,6 +28,8 @@
     leases: BTreeMap<LeaseId, (u64, u64)>,
     /// Wave statuses that the daemons wrote for the operator, in order.
     pub wave_statuses: Vec<(u64, WavePhase)>,
+    /// Number of ownership records that were created for each shard.
+    pub ownership_counts: BTreeMap<ShardKey, u32>,
 }
 
 fn is_in_scope(scope: &KeyScope, key: &StoreKey) -> bool {
@@ -58,6 +60,9 @@
     /// Writes an item under a new revision, bound to a lease if one is given.
     pub fn put(&mut self, key: StoreKey, value: ItemValue, lease: Option<LeaseId>) {
         self.revision += 1;
+        if let StoreKey::Own(OwnKey::Owner(shard)) = &key {
+            *self.ownership_counts.entry(shard.clone()).or_default() += 1;
+        }
         let created =
             self.items.get(&key).map_or(Revision(self.revision), |existing| existing.0.created);
         let item =
