An owner whose lease is late pauses and keeps its pools

Cause: when the lease was no longer valid by the daemon's own clock, the daemon dropped its pools and deleted their ownership records, although the lease lived on in the store.

Change: while the lease is not valid by the own clock, handlers change a shard's state but give no orders and write nothing (stops that become due are sent later; throttling waits). If a renewal of the same lease succeeds, its ownership records were never gone and no other owner can have existed, so the daemon goes on under the same fencing tokens; validity counts from the renewal's own request. If the store has no such lease, or answers with another one, all shards are dropped. An ownership record that was created under a lease that has ended since begins no ownership. Records are deleted only of shards that another daemon has fenced.

--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -15,7 +15,7 @@
 use crate::outbox::{CallPurpose, Outbox};
 use crate::pool::{PoolOwner, StepContext};
 use crate::registry::Registry;
-use crate::session::Session;
+use crate::session::{OwnershipChange, Session};
 use crate::shared::{SharedChanges, SharedRecords};
 use crate::timing::{HANDOVER_TIMEOUT, STOP_TIMEOUT};
 use crate::vm_controller::VmController;
@@ -33,6 +33,8 @@
     /// Shards that this daemon relinquished while their ownership record still named
     /// it, with the fencing token of that record.
     relinquished_shards: BTreeMap<ShardKey, Revision>,
+    /// Time since which the shards have been paused.
+    paused_since: Option<Moment>,
     out: Outbox,
     stopping_since: Option<Moment>,
     is_stopped: bool,
@@ -51,6 +53,7 @@
             pools: BTreeMap::new(),
             vm_controller: None,
             relinquished_shards: BTreeMap::new(),
+            paused_since: None,
             out: Outbox::default(),
             stopping_since: None,
             is_stopped: false,
@@ -99,6 +102,7 @@
                 self.for_each_pool(clock, |owner, context| owner.begin_stop(context));
             }
         }
+        self.log_pause(clock);
         self.advance_graceful_stop(clock);
         self.out.take_effects()
     }
@@ -113,7 +117,7 @@
         self.intake.on_tick(clock, &mut self.out, &self.shared);
         self.for_each_pool(clock, |owner, context| owner.on_tick(context));
         self.with_vm_controller(clock, |controller, context| controller.advance(context));
-        self.drop_lost_shards(clock);
+        self.drop_lost_shards();
         self.reconcile_owners(clock);
         self.release_relinquished(clock);
     }
@@ -146,11 +150,8 @@
                 self.apply_shared_changes(clock, changes);
             }
             CallPurpose::Session(call) => {
-                let acquired_shard =
-                    self.session.on_answer(clock, &mut self.out, call, sent_at, answer);
-                if let Some((shard, fencing_token)) = acquired_shard {
-                    self.begin_ownership(clock, shard, fencing_token);
-                }
+                let change = self.session.on_answer(clock, &mut self.out, call, sent_at, answer);
+                self.apply_ownership_change(clock, change);
             }
             CallPurpose::Intake(call) => {
                 self.intake.on_answer(clock, &mut self.out, &self.shared, call, answer);
@@ -173,7 +174,7 @@
                 });
             }
         }
-        self.drop_lost_shards(clock);
+        self.drop_lost_shards();
     }
 
     fn apply_shared_changes(&mut self, clock: Clock, changes: SharedChanges) {
@@ -251,29 +252,72 @@
         pools.insert(pool, owner);
     }
 
-    fn drop_lost_shards(&mut self, clock: Clock) {
-        let is_valid = self.session.is_valid(clock.now);
-        let lost_pools: Vec<(PoolId, Revision)> = self
+    fn apply_ownership_change(&mut self, clock: Clock, change: OwnershipChange) {
+        match change {
+            OwnershipChange::None => {}
+            OwnershipChange::Acquired(shard, fencing_token) => {
+                self.begin_ownership(clock, shard, fencing_token);
+            }
+            OwnershipChange::AcquiredUnderEndedLease(shard, fencing_token) => {
+                self.relinquished_shards.insert(shard, fencing_token);
+            }
+            OwnershipChange::LeaseEnded => self.drop_shards("lease ended", |_| true, |_| true),
+        }
+    }
+
+    /// Drops the shards that other daemons own now.
+    fn drop_lost_shards(&mut self) {
+        self.drop_shards("owned elsewhere", |owner| owner.is_lost, |controller| controller.is_lost);
+    }
+
+    /// Drops the pools, and the VM controller, that match. Each is acquired again only once the
+    /// ownership record under its fencing token is gone.
+    fn drop_shards(
+        &mut self,
+        reason: &'static str,
+        is_dropped: impl Fn(&PoolOwner) -> bool,
+        is_controller_dropped: impl Fn(&VmController) -> bool,
+    ) {
+        let dropped_pools: Vec<(PoolId, Revision)> = self
             .pools
             .iter()
-            .filter(|(_, owner)| owner.is_lost || !is_valid)
+            .filter(|(_, owner)| is_dropped(owner))
             .map(|(pool, owner)| (pool.clone(), owner.fencing_token()))
             .collect();
-        for (pool, fencing_token) in lost_pools {
-            let inputs = format!("session valid: {is_valid}");
-            self.out.log("pool", &pool, inputs, "given up");
+        for (pool, fencing_token) in dropped_pools {
+            self.out.log("pool", &pool, reason, "given up");
             self.pools.remove(&pool);
             self.relinquished_shards.insert(ShardKey::Pool(pool), fencing_token);
         }
-        let lost_controller =
-            self.vm_controller.take_if(|controller| controller.is_lost || !is_valid);
-        if let Some(controller) = lost_controller {
-            let inputs = format!("session valid: {is_valid}");
-            self.out.log("duty", "mover", inputs, "given up");
+        if let Some(controller) =
+            self.vm_controller.take_if(|controller| is_controller_dropped(controller))
+        {
+            self.out.log("duty", "mover", reason, "given up");
             self.relinquished_shards.insert(ShardKey::VmController, controller.fencing_token());
         }
     }
 
+    /// Logs when the shards are paused, since the lease may have ended by this daemon's clock,
+    /// and when they resume. Handlers of a paused shard change its state, but give no orders
+    /// and write nothing.
+    fn log_pause(&mut self, clock: Clock) {
+        let has_shards = !self.pools.is_empty() || self.vm_controller.is_some();
+        let is_paused = has_shards && !self.session.is_valid(clock.now);
+        match self.paused_since {
+            None if is_paused => {
+                self.paused_since = Some(clock.now);
+                self.out.log("session", &self.settings.daemon, "lease not renewed", "paused");
+            }
+            Some(since) if !is_paused => {
+                self.paused_since = None;
+                let inputs = format!("paused for {}", clock.now - since);
+                let outcome = if has_shards { "resumed" } else { "no shards left" };
+                self.out.log("session", &self.settings.daemon, inputs, outcome);
+            }
+            _ => {}
+        }
+    }
+
     fn advance_graceful_stop(&mut self, clock: Clock) {
         let Some(since) = self.stopping_since.filter(|_| !self.is_stopped) else { return };
         let are_pools_saved = self.pools.values().all(PoolOwner::is_quiescent);
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -192,7 +192,8 @@
         context.out.call_minion(context.clock, purpose, target, self.fencing_token.0, order);
     }
 
-    /// Stops a run. Its resources are released when the minion lists the run as finished.
+    /// Stops a run. Its resources are released when the minion lists the run as finished. While
+    /// the pool is paused, the stop is sent by [`Self::resend_stops`] later.
     pub(super) fn stop_run(
         &mut self,
         context: &mut StepContext,
@@ -204,6 +205,9 @@
         let Some(minion) = self.minions.get_mut(id) else { return };
         let Some(run) = minion.runs.get_mut(&(task.clone(), number)) else { return };
         run.phase = RunPhase::Stopping { retry_at: now + STOP_RETRY_DELAY };
+        if !context.is_ownership_valid {
+            return;
+        }
         let order = MinionCall::Stop { task: task.clone(), run: number };
         let target = minion_target(minion);
         let purpose = self.purpose(PoolCall::Stop);
--- a/crates/fleet/src/pool/throttle.rs
+++ b/crates/fleet/src/pool/throttle.rs
@@ -26,6 +26,9 @@
     /// Adjusts the processor share of a minion's best-effort runs to the reported tail
     /// latencies.
     pub(super) fn throttle_best_effort(&mut self, context: &mut StepContext, id: &MinionId) {
+        if !context.is_ownership_valid {
+            return;
+        }
         let Some(minion) = self.minions.get(id) else { return };
         let mut worst_percent = None;
         let mut best_effort_runs: Vec<(TaskName, RunNumber, u8)> = Vec::new();
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -4,8 +4,10 @@
 //! lease. The revision of the creation is the owner's fencing token: it is unique, and
 //! higher than that of every earlier owner, even after all daemons have crashed. A daemon
 //! owns a shard only while its lease is certainly valid by its own clock, counted from
-//! before the renewal was sent; after the lease has expired, the daemon gives no orders
-//! and writes nothing.
+//! before the renewal was sent; after that the daemon gives no orders and writes nothing.
+//! It keeps the state of its shards until the store says that the lease has ended: a lease
+//! that is renewed late was never free for another daemon, so the daemon continues under the
+//! same fencing tokens.
 //!
 //! A daemon that owns fewer shards acquires free ones sooner, so the shards spread over
 //! the daemons without a coordinator.
@@ -32,10 +34,24 @@
     Open,
     Renew(LeaseId),
     Close,
-    Acquire(ShardKey),
+    /// Creates the ownership record of a shard, bound to this lease.
+    Acquire(ShardKey, LeaseId),
     Release(ShardKey),
 }
 
+/// Change of this daemon's ownership that the answer to a session call shows.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum OwnershipChange {
+    None,
+    /// The daemon has created a shard's ownership record, under this fencing token.
+    Acquired(ShardKey, Revision),
+    /// The daemon has created a shard's ownership record, but bound to a lease that has ended
+    /// since.
+    AcquiredUnderEndedLease(ShardKey, Revision),
+    /// The lease has ended, and all ownership records that were bound to it are gone.
+    LeaseEnded,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Lease {
     id: LeaseId,
@@ -174,7 +190,7 @@
             puts: vec![StorePut { key, value, lease: Some(lease.id) }],
             remove: Vec::new(),
         };
-        let purpose = CallPurpose::Session(SessionCall::Acquire(shard.clone()));
+        let purpose = CallPurpose::Session(SessionCall::Acquire(shard.clone(), lease.id));
         out.call_store(clock, purpose, StoreCall::Commit(commit));
     }
 
@@ -199,8 +215,7 @@
         out.call_store(clock, purpose, StoreCall::Commit(commit));
     }
 
-    /// Handles the answer to a session call. Returns the shard and its fencing token if
-    /// this daemon has become the owner of a shard.
+    /// Handles the answer to a session call that was sent at `sent_at`.
     pub(crate) fn on_answer(
         &mut self,
         clock: Clock,
@@ -208,14 +223,19 @@
         call: SessionCall,
         sent_at: Moment,
         answer: StoreAnswer,
-    ) -> Option<(ShardKey, Revision)> {
+    ) -> OwnershipChange {
         match call {
-            SessionCall::Acquire(shard) => {
+            SessionCall::Acquire(shard, lease) => {
                 self.in_flight_shards.remove(&shard);
                 // After an unknown answer, the watch of the shared records shows the
                 // owner.
                 if let StoreAnswer::Committed(revision) = answer {
-                    return Some((shard, revision));
+                    let is_current = self.lease.is_some_and(|current| current.id == lease);
+                    return if is_current {
+                        OwnershipChange::Acquired(shard, revision)
+                    } else {
+                        OwnershipChange::AcquiredUnderEndedLease(shard, revision)
+                    };
                 }
                 self.acquire_times.insert(shard, clock.now + COMMIT_RETRY_DELAY);
             }
@@ -223,18 +243,29 @@
                 self.in_flight_shards.remove(&shard);
             }
             SessionCall::Close => self.is_closed = true,
-            SessionCall::Open | SessionCall::Renew(_) => self.on_lease(clock, out, sent_at, answer),
+            SessionCall::Open | SessionCall::Renew(_) => {
+                return self.on_lease(clock, out, sent_at, answer);
+            }
         }
-        None
+        OwnershipChange::None
     }
 
-    fn on_lease(&mut self, clock: Clock, out: &mut Outbox, sent_at: Moment, answer: StoreAnswer) {
+    /// Handles the answer to a request for a lease or to a renewal. A renewed lease has existed
+    /// without a gap, and so have the ownership records that are bound to it, even if it was no
+    /// longer valid by this daemon's clock.
+    fn on_lease(
+        &mut self,
+        clock: Clock,
+        out: &mut Outbox,
+        sent_at: Moment,
+        answer: StoreAnswer,
+    ) -> OwnershipChange {
         self.is_call_in_flight = false;
+        let previous = self.lease;
         match answer {
             StoreAnswer::Leased(id, ttl) => {
                 let validity = Millis(ttl.0.saturating_sub(SESSION_SAFETY_MARGIN.0));
-                let valid_before = self.lease.map(|lease| lease.valid_until);
-                match valid_before {
+                match previous.filter(|lease| lease.id == id).map(|lease| lease.valid_until) {
                     None => out.log("session", id.0, format!("lease duration {ttl}"), "opened"),
                     Some(valid_until) if valid_until <= clock.now + LATE_RENEWAL_MARGIN => {
                         log_late_renewal(clock, out, id, sent_at, valid_until);
@@ -251,6 +282,12 @@
             }
             _ => self.next_call_at = clock.now + COMMIT_RETRY_DELAY,
         }
+        match previous {
+            Some(lease) if self.lease.is_none_or(|current| current.id != lease.id) => {
+                OwnershipChange::LeaseEnded
+            }
+            _ => OwnershipChange::None,
+        }
     }
 }
 
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -184,6 +184,9 @@
     pub faults: ActiveFaults,
     /// Processor time that events cost; `None` if steps take no time.
     pub processor_cost: Option<ProcessorCost>,
+    /// Number of orders to minions under a fencing token whose ownership record did not exist
+    /// when the order was given.
+    pub orders_without_ownership: u64,
     /// Number of submissions that a daemon accepted.
     pub accepted_count: u64,
     /// Number of submissions that were answered as not done.
@@ -218,6 +221,7 @@
             checker: RuleChecker::default(),
             faults: ActiveFaults::default(),
             processor_cost: None,
+            orders_without_ownership: 0,
             accepted_count: 0,
             refused_count: 0,
             messages: BTreeMap::new(),
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -130,6 +130,7 @@
                 self.schedule(delay, daemon, incarnation, message);
             }
             Effect::Minion { call, target, fencing_token, order } => {
+                self.orders_without_ownership += u64::from(!self.store.has_owner(fencing_token));
                 let is_late = self.rng.random_bool(self.faults.late_order_probability);
                 let delay = if is_late { self.rng.random_range(2_000..12_000) } else { delay };
                 if is_late {
--- a/crates/fleet/tests/rules/store.rs
+++ b/crates/fleet/tests/rules/store.rs
@@ -83,6 +83,21 @@
         self.items.get(key).map(|(item, _)| item)
     }
 
+    /// Virtual time, in milliseconds, at which the lease of a shard's ownership record was
+    /// renewed last.
+    pub fn lease_renewed_at(&self, shard: &ShardKey) -> u64 {
+        let (_, lease) = &self.items[&StoreKey::Own(OwnKey::Owner(shard.clone()))];
+        let (until, ttl) = self.leases[&lease.expect("ownership records have leases")];
+        until - ttl
+    }
+
+    /// Whether an ownership record exists that was created under this fencing token.
+    pub fn has_owner(&self, fencing_token: u64) -> bool {
+        self.items.iter().any(|(key, (item, _))| {
+            matches!(key, StoreKey::Own(OwnKey::Owner(_))) && item.created.0 == fencing_token
+        })
+    }
+
     /// Counts the items that belong to a job: specification, progress and outcome.
     pub fn count_job_records(&self) -> usize {
         let is_of_job = |key: &&StoreKey| {
