--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -7,6 +7,7 @@
 mod checker;
 mod cloud;
 mod minion;
+mod overload;
 mod owner_work;
 mod saving;
 mod seeded_runs;
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -68,6 +68,7 @@
                 let redelivery = Message::Answer(event.clone());
                 self.step_daemon(daemon, incarnation, *event, &redelivery);
             }
+            Message::StepEnds(effects) => self.end_step(daemon, incarnation, effects),
             Message::StoreCallArrives { call, request, is_lost } => {
                 self.execute_store_call(daemon, incarnation, call, request, is_lost);
             }
@@ -118,8 +119,11 @@
             }
             return;
         }
-        let Some(core) = daemon_state.core.as_mut() else { return };
-        let clock = Clock { now: Moment(self.now), wall_ms: WALL_CLOCK_OFFSET_MS + self.now };
+        if let Some(cost) = self.processor_cost {
+            return self.queue_event(daemon, cost, event);
+        }
+        let clock = self.read_clocks();
+        let Some(core) = self.daemons[daemon].core.as_mut() else { return };
         self.event_count += 1;
         for effect in core.step(clock, event) {
             self.apply_effect(daemon, incarnation, effect);
@@ -144,6 +148,7 @@
                 self.schedule(delay, daemon, incarnation, message);
             }
             Effect::Minion { call, target, fencing_token, order } => {
+                self.orders_without_ownership += u64::from(!self.store.has_owner(fencing_token));
                 let is_late = self.rng.random_bool(self.faults.late_order_probability);
                 let delay = if is_late { self.rng.random_range(2_000..12_000) } else { delay };
                 if is_late {
