A range has the time that its page takes on the daemon's link

What callers saw: after a loss of power, long-running tasks of a pool with many waiting jobs lapsed and never came back (LOST), and its new jobs waited for ever.

Cause: every store call had one second. A page of a range has up to 500 items or a megabyte of values, 1.4 MB as base64 text, which a link of 10 Mbit/s carries in 1.1 s when it does nothing else. The owner read the first page again for ever.

Evidence: one owner logged `LoadJobs: Unknown, read is retried` 29 times, each 1.17 s (timeout and retry delay), while its lease was renewed in time. The simulated store's answers now take time by their length; on the old code `pool_with_many_jobs_loads_over_a_slow_link` fails: left: ["edge-0 owned"] right: ["edge-0 owned", "edge-0 loaded"]

Change: the timeout of a range adds the time that twice a full page takes on the daemon's link (`Limits.LinkMbps`): 3.32 s at 10 Mbit/s, 1.23 s at 100 Mbit/s. All other calls keep one second, so a silent connection is noticed as before. The timeouts are in the fleet crate, so that adapter and simulation share them. An absent or non-positive link means the standard of 100 Mbit/s.

--- a/crates/daemon/src/runtime/host.rs
+++ b/crates/daemon/src/runtime/host.rs
@@ -150,7 +150,9 @@
     fn send_store_call(self: &Arc<Self>, call: CallId, request: StoreCall) {
         let host = Arc::clone(self);
         let sent_at = read_clock();
-        let encoded_call = platform::encode_store_call(self.settings().store_address, &request);
+        let settings = self.settings();
+        let link = settings.fleet.capacity.link;
+        let encoded_call = platform::encode_store_call(settings.store_address, link, &request);
         self.call_sender.send(encoded_call, move |answer| {
             let answer = platform::decode_store_answer(&request, answer);
             host.metrics.record_store_answer(&request, &answer, read_clock() - sent_at);
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -6,7 +6,14 @@
 use state::{Millis, MinionId, PoolId, Revision, VmId};
 
 use crate::key::{KeyScope, StoreKey};
-use crate::model::{FleetConfig, MinionReport, VmReport, WaveOrder, WavePhase};
+use crate::model::{FleetConfig, LinkRate, MinionReport, VmReport, WaveOrder, WavePhase};
+use crate::timing::STORE_TIMEOUT;
+
+/// Maximum size of one page of a range, in bytes: a megabyte of values as base64 text, with
+/// the other fields of 500 items.
+const MAX_PAGE_BYTES: u64 = 1_450_000;
+/// Divisor of the part of the link that a range may count on; other calls use the rest.
+const PAGE_LINK_SHARE: u64 = 2;
 
 /// Identifier of a lease in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -120,6 +127,22 @@
     EndLease(LeaseId),
 }
 
+impl StoreCall {
+    /// Returns the time after which a call without a complete answer counts as unknown, on a
+    /// daemon with this link.
+    ///
+    /// A short timeout notices connections that have gone silent, so only ranges, whose pages
+    /// are long, get the time that their answer takes on the link.
+    pub fn timeout(&self, link: LinkRate) -> Millis {
+        let allowance = match self {
+            Self::Range { .. } => link.transfer_time(MAX_PAGE_BYTES * PAGE_LINK_SHARE),
+            Self::Watch { wait, .. } => *wait,
+            _ => Millis(0),
+        };
+        Millis(STORE_TIMEOUT.0 + allowance.0)
+    }
+}
+
 /// Answer of the store.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoreAnswer {
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -1,6 +1,7 @@
 //! Configuration and reports of the platform, translated to the types of this crate.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use jobs::Resources;
@@ -18,6 +19,8 @@
     pub incarnation: Incarnation,
     /// Data centre in which the daemon runs.
     pub data_centre: DataCentreId,
+    /// Capacity of the VM on which the daemon runs.
+    pub capacity: DaemonCapacity,
     /// Maximum lease that a minion grants to a run.
     pub max_run_lease: Millis,
     /// Duration for which orders for a VM must come from one owner of the VM
@@ -25,6 +28,37 @@
     pub controller_lease: Millis,
 }
 
+/// Bandwidth of a network link, in kbit/s.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LinkRate(pub u64);
+
+impl LinkRate {
+    /// Returns the time that the link takes to carry `bytes`, rounded up.
+    pub fn transfer_time(self, bytes: u64) -> Millis {
+        Millis((bytes * 8).div_ceil(self.0.max(1)))
+    }
+}
+
+impl fmt::Display for LinkRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} kbit/s", self.0)
+    }
+}
+
+/// Capacity of the VM on which a daemon runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DaemonCapacity {
+    /// Bandwidth of the VM's link.
+    pub link: LinkRate,
+}
+
+impl Default for DaemonCapacity {
+    /// Returns the standard capacity, which is assumed where a setting is absent.
+    fn default() -> Self {
+        Self { link: LinkRate(100_000) }
+    }
+}
+
 /// Queue to which jobs are submitted.
 #[derive(Debug, Clone, PartialEq)]
 pub struct QueueConfig {
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -16,6 +16,8 @@
 /// Interval between an answer of the shared watch and the next call, so that several
 /// changes share one answer.
 pub(crate) const SHARED_WATCH_INTERVAL: Millis = Millis(25);
+/// Timeout for a call to the store with a short answer, in addition to the wait of a watch.
+pub(crate) const STORE_TIMEOUT: Millis = Millis(1_000);
 /// Delay before a failed read or watch is retried.
 pub(crate) const READ_RETRY_DELAY: Millis = Millis(150);
 /// Interval between two readings of the minions' reports.
--- /dev/null
+++ b/crates/fleet/tests/rules/slow_links.rs
@@ -0,0 +1,69 @@
+//! Runs in which the store's answers take time on the links of the daemons.
+
+use fleet::io::ItemValue;
+use fleet::model::LinkRate;
+use fleet::{OwnKey, StoreKey};
+use jobs::{AcceptedJob, JobOutcome, JobPhase, JobSpec, StepSpec};
+use serde::Serialize;
+use state::{JobId, PoolId, QueueId};
+
+use crate::seeded_runs::build_config;
+use crate::simulation::Simulation;
+
+/// Bandwidth of the slowest link that the platform gives to a daemon.
+const SLOW_LINK: LinkRate = LinkRate(10_000);
+/// Size of a job's payload, so that a page of jobs reaches the maximum size in bytes.
+const PAYLOAD_BYTES: usize = 2_000;
+
+fn encode(record: &impl Serialize) -> ItemValue {
+    ItemValue::Own(serde_json::to_vec(record).expect("a record").into())
+}
+
+/// Writes accepted jobs that wait, because no minion belongs to their pool.
+fn write_waiting_jobs(simulation: &mut Simulation, pool: &str, count: u64) {
+    let pool: PoolId = pool.parse().expect("valid name");
+    let queue: QueueId = "queue-0".parse().expect("valid name");
+    for number in 0..count {
+        let job: JobId = format!("{number:016x}").parse().expect("valid name");
+        let accepted = AcceptedJob {
+            queue: queue.clone(),
+            team: None,
+            accepted_ms: 0,
+            spec: JobSpec {
+                payload: "x".repeat(PAYLOAD_BYTES).into(),
+                steps: vec![StepSpec { tasks: 1, ..StepSpec::default() }],
+                timetable: None,
+            },
+        };
+        let outcome = JobOutcome { phase: JobPhase::Queued, queue: queue.clone() };
+        let job_key = StoreKey::Own(OwnKey::Job(pool.clone(), job.clone()));
+        let outcome_key = StoreKey::Own(OwnKey::Outcome(pool.clone(), job));
+        simulation.store.put(job_key, encode(&accepted), None);
+        simulation.store.put(outcome_key, encode(&outcome), None);
+    }
+}
+
+/// Starts a daemon again on a VM with this link.
+fn set_link(simulation: &mut Simulation, daemon: usize, link: LinkRate) {
+    simulation.daemons[daemon].link = Some(link);
+    simulation.daemons[daemon].capacity.link = link;
+    simulation.start_daemon(daemon);
+}
+
+/// Returns the decisions about the first pool, one per line, without their inputs.
+fn list_decisions(simulation: &Simulation) -> Vec<String> {
+    let decisions = simulation.pool_decisions.iter().filter(|(_, _, line)| &*line.id == "pool-0");
+    decisions.map(|(_, daemon, line)| format!("edge-{daemon} {}", line.outcome)).collect()
+}
+
+/// Guards against an owner that never loads a pool, because a page of the pool's jobs takes
+/// longer on its link than a small answer may take.
+#[test]
+fn pool_with_many_jobs_loads_over_a_slow_link() {
+    let mut simulation = Simulation::new(1, 1, build_config());
+    simulation.store.has_full_pages = true;
+    set_link(&mut simulation, 0, SLOW_LINK);
+    write_waiting_jobs(&mut simulation, "pool-0", 1_200);
+    simulation.run_until(10_000);
+    assert_eq!(list_decisions(&simulation), ["edge-0 owned", "edge-0 loaded"]);
+}
