A failed page of the shared records is read again alone

What callers saw: requests that are refused by a daemon that has not read the shared records (not ready) after a loss of power; and, after the store compacted its history, changes that one daemon never saw.

Cause: the first reading began again at its first page when any page failed, so on a slow link or with a store under load it ended late or never. A reading after a compaction had a worse fault: after a failed page the daemon went on with the watch from the first page's revision, so that records of the pages it had not read kept their old values, and removed ones stayed.

Change: the key of the last page received is part of the state; the next call continues there, and the watch begins only after the last page.

--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -3,7 +3,8 @@
 //! All records are read once, page by page; one watch from the revision of the first
 //! page then delivers each change. When the store no longer has the history that the
 //! watch asks for, all records are read again, and local records that the store no
-//! longer has are removed. A change that the watch delivers twice is recognised by its
+//! longer has are removed. A page that fails is read again, without the pages before it. A
+//! change that the watch delivers twice is recognised by its
 //! revision.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,6 +58,9 @@
     /// Revision after which the next watch delivers changes; `None` until the first page
     /// of a reading has arrived.
     watch_from: Option<Revision>,
+    /// Last key of the pages that the current full reading has received; `None` before the first
+    /// page and outside of a full reading.
+    last_read_key: Option<StoreKey>,
     /// Keys that the current full reading has listed so far.
     listed_keys: BTreeSet<StoreKey>,
     next_call_at: Option<Moment>,
@@ -74,13 +78,15 @@
     pub(crate) fn on_tick(&mut self, clock: Clock, out: &mut Outbox) {
         let is_due = self.next_call_at.is_none_or(|at| clock.now >= at);
         if !self.is_call_in_flight && is_due {
-            self.send_next_call(clock, out, None);
+            self.send_next_call(clock, out);
         }
     }
 
-    fn send_next_call(&mut self, clock: Clock, out: &mut Outbox, after: Option<StoreKey>) {
+    /// Sends the next watch, or the read of the next page if a full reading is not complete.
+    fn send_next_call(&mut self, clock: Clock, out: &mut Outbox) {
         self.is_call_in_flight = true;
         self.next_call_at = None;
+        let after = self.last_read_key.clone();
         match self.watch_from {
             Some(from) if self.is_loaded && after.is_none() => {
                 let request =
@@ -119,7 +125,8 @@
                     self.remove_unlisted(&mut changes);
                     self.is_loaded = true;
                 }
-                self.send_next_call(clock, out, last_key.filter(|_| more));
+                self.last_read_key = last_key.filter(|_| more);
+                self.send_next_call(clock, out);
             }
             StoreAnswer::Events { events, at } => {
                 self.log_store_regained(clock, out);
@@ -140,7 +147,7 @@
                     "reading all records again",
                 );
                 self.watch_from = None;
-                self.send_next_call(clock, out, None);
+                self.send_next_call(clock, out);
             }
             other => {
                 if self.store_unavailable_since.is_none() {
@@ -148,9 +155,6 @@
                     out.log("dependency", "store", format!("{other:?}"), "lost");
                 }
                 self.next_call_at = Some(clock.now + READ_RETRY_DELAY);
-                if !self.is_loaded {
-                    self.watch_from = None;
-                }
             }
         }
         changes
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -7,6 +7,7 @@
 mod checker;
 mod cloud;
 mod minion;
+mod reads;
 mod seeded_runs;
 mod simulation;
 mod slow_links;
