A failed page of a pool's records is read again alone, one read at a time

Cause: after a failed page the owner read all progress records or all jobs from the first page again. The reads of the roster and of the progress records also ran side by side and delayed each other on a slow link.

Change: a range read continues after the last page received. Jobs that are accepted meanwhile arrive by the watch, which starts at the first page's revision. The roster, the progress records and the jobs are read one after the other.

--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -26,15 +26,16 @@
     /// Whether no run of an earlier owner can still execute without being listed.
     has_resolved_unknown_runs: bool,
     is_reading_jobs: bool,
+    /// Last key of the pages that the current range read has received.
+    last_read_key: Option<StoreKey>,
     /// Revision after which the watch for jobs continues.
     watch_from: Option<Revision>,
     /// Progress of jobs that are not registered yet.
     progress: BTreeMap<JobId, (ProgressRecord, Revision)>,
     /// Minions of the stored roster that have not reported their runs to this owner.
     pub(super) unconfirmed_minions: BTreeMap<MinionId, RosterRow>,
-    /// Failed reads, with the time of the next attempt and the key after which the read
-    /// starts.
-    retry: Vec<(Moment, PoolCall, Option<StoreKey>)>,
+    /// Failed reads, with the time of the next attempt.
+    retry: Vec<(Moment, PoolCall)>,
 }
 
 impl LoadStage {
@@ -45,15 +46,17 @@
 }
 
 impl PoolOwner {
-    /// Begins to load the pool's records.
+    /// Begins to load the pool's records, one read after the other, so that the reads do not
+    /// delay each other on a slow link.
     pub(super) fn begin_load(&mut self, context: &mut StepContext) {
-        self.read(context, PoolCall::LoadRoster, None);
-        self.read(context, PoolCall::LoadProgress, None);
+        self.read(context, PoolCall::LoadRoster);
     }
 
-    /// Sends the read or watch for `call`. A range read starts after the key `after`.
-    fn read(&mut self, context: &mut StepContext, call: PoolCall, after: Option<StoreKey>) {
+    /// Sends the read or watch for `call`. A range read continues after the last page that
+    /// was received.
+    fn read(&mut self, context: &mut StepContext, call: PoolCall) {
         let pool = self.pool.clone();
+        let after = self.stage.last_read_key.clone();
         let request = match call {
             PoolCall::LoadRoster => StoreCall::Read(StoreKey::Own(OwnKey::Roster(pool))),
             PoolCall::LoadProgress => StoreCall::Range { scope: KeyScope::Progress(pool), after },
@@ -74,7 +77,7 @@
             owner.is_some_and(|owner| owner.created >= self.fencing_token);
         if self.stage.has_progress && !self.stage.is_reading_jobs && are_shared_records_current {
             self.stage.is_reading_jobs = true;
-            self.read(context, PoolCall::LoadJobs, None);
+            self.read(context, PoolCall::LoadJobs);
         }
     }
 
@@ -83,11 +86,11 @@
         self.load_jobs(context);
         let now = context.clock.now;
         let retry = std::mem::take(&mut self.stage.retry);
-        for (at, call, after) in retry {
+        for (at, call) in retry {
             if now >= at {
-                self.read(context, call, after);
+                self.read(context, call);
             } else {
-                self.stage.retry.push((at, call, after));
+                self.stage.retry.push((at, call));
             }
         }
     }
@@ -100,30 +103,32 @@
         answer: StoreAnswer,
     ) {
         match (call, answer) {
-            (PoolCall::LoadRoster, StoreAnswer::Absent) => self.stage.has_roster = true,
+            (PoolCall::LoadRoster, StoreAnswer::Absent) => {
+                self.apply_roster(context, Vec::new());
+            }
             (PoolCall::LoadRoster, StoreAnswer::Items { items, .. }) => {
                 self.apply_roster(context, items);
             }
             (PoolCall::LoadProgress, StoreAnswer::Items { items, more, .. }) => {
-                let last = items.last().map(|item| item.key.clone());
+                self.note_page(&items, more);
                 for item in items {
                     self.stage_progress(context, item);
                 }
                 if more {
-                    return self.read(context, PoolCall::LoadProgress, last);
+                    return self.read(context, PoolCall::LoadProgress);
                 }
                 self.stage.has_progress = true;
                 self.load_jobs(context);
             }
             (PoolCall::LoadJobs, StoreAnswer::Items { items, more, at }) => {
                 self.stage.watch_from.get_or_insert(at);
-                let last = items.last().map(|item| item.key.clone());
+                self.note_page(&items, more);
                 let is_first_load = !self.stage.has_jobs;
                 for item in items {
                     self.register_job(context, item, is_first_load);
                 }
                 if more {
-                    return self.read(context, PoolCall::LoadJobs, last);
+                    return self.read(context, PoolCall::LoadJobs);
                 }
                 self.finish_load(context);
             }
@@ -134,26 +139,27 @@
                         self.register_job(context, item, false);
                     }
                 }
-                self.read(context, PoolCall::WatchJobs, None);
+                self.read(context, PoolCall::WatchJobs);
             }
             (PoolCall::WatchJobs, StoreAnswer::Compacted) => {
                 self.stage.watch_from = None;
-                self.read(context, PoolCall::LoadJobs, None);
+                self.read(context, PoolCall::LoadJobs);
             }
             (call, answer) => {
                 let inputs = format!("{call:?}: {answer:?}");
                 context.out.log("pool-records", &self.pool, inputs, "read is retried");
-                if call == PoolCall::LoadProgress {
-                    self.stage.progress.clear();
-                }
-                if call == PoolCall::LoadJobs {
-                    self.stage.watch_from = None;
-                }
-                self.stage.retry.push((context.clock.now + READ_RETRY_DELAY, call, None));
+                self.stage.retry.push((context.clock.now + READ_RETRY_DELAY, call));
             }
         }
     }
 
+    /// Notes where the range read continues after a page; after the last page, the next range
+    /// read starts from the beginning.
+    fn note_page(&mut self, items: &[StoreItem], more: bool) {
+        let last_key = items.last().map(|item| item.key.clone());
+        self.stage.last_read_key = last_key.filter(|_| more);
+    }
+
     /// Completes a read of the jobs and begins to watch for new ones.
     fn finish_load(&mut self, context: &mut StepContext) {
         if !self.stage.has_jobs {
@@ -169,10 +175,11 @@
             context.out.log("pool", &self.pool, inputs, "loaded");
         }
         self.apply_registry(context);
-        self.read(context, PoolCall::WatchJobs, None);
+        self.read(context, PoolCall::WatchJobs);
     }
 
-    /// Adopts the stored roster. All of its minions are unconfirmed at first.
+    /// Adopts the stored roster and reads the progress records. All minions of the roster are
+    /// unconfirmed at first.
     fn apply_roster(&mut self, context: &mut StepContext, items: Vec<StoreItem>) {
         for item in items {
             let ItemValue::Own(bytes) = item.value else { continue };
@@ -185,6 +192,7 @@
             }
         }
         self.stage.has_roster = true;
+        self.read(context, PoolCall::LoadProgress);
     }
 
     /// Keeps a progress record until its job is registered.
