An owner that cannot read its pool's records releases the pool

Cause: ownership depends on the lease alone. An owner whose reads bring no page (a link or store that serves it badly) renewed its lease and kept the pool.

Evidence: `owner_that_cannot_load_its_pool_releases_it`, with a link that carries a fifth of what the settings say, fails on the old code: left: ["edge-0 owned"] right: ["edge-0 owned", "edge-0 given up", "edge-1 owned", "edge-1 loaded"]

The bound counts from the last page, so an owner that reads many pages slowly goes on, and two slow daemons do not pass a pool to and fro. It counts only once the shared records show the ownership; the session releases a record only then. A release that fails is tried again after the delay of other commits rather than at each tick.

--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -13,8 +13,10 @@
 use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
 use crate::key::{KeyScope, OwnKey, ShardKey, StoreKey};
 use crate::records::{PoolRoster, ProgressRecord, RosterRow, decode};
+use crate::shared::SharedRecords;
 use crate::timing::{
-    CLOCK_ERROR_PERMILLE, MAX_WATCH_WAIT, READ_RETRY_DELAY, ROSTER_RETENTION, RUN_LEASE_DURATION,
+    CLOCK_ERROR_PERMILLE, LOAD_STALL_TIMEOUT, MAX_WATCH_WAIT, READ_RETRY_DELAY, ROSTER_RETENTION,
+    RUN_LEASE_DURATION,
 };
 
 /// Progress of loading, and loaded records that are not applied yet.
@@ -34,6 +36,8 @@
     progress: BTreeMap<JobId, (ProgressRecord, Revision)>,
     /// Minions of the stored roster that have not reported their runs to this owner.
     pub(super) unconfirmed_minions: BTreeMap<MinionId, RosterRow>,
+    /// Time since which the current read of the pool's records has brought no page.
+    waiting_since: Option<Moment>,
     /// Failed reads, with the time of the next attempt.
     retry: Vec<(Moment, PoolCall)>,
 }
@@ -57,6 +61,9 @@
     fn read(&mut self, context: &mut StepContext, call: PoolCall) {
         let pool = self.pool.clone();
         let after = self.stage.last_read_key.clone();
+        if call != PoolCall::WatchJobs {
+            self.stage.waiting_since.get_or_insert(context.clock.now);
+        }
         let request = match call {
             PoolCall::LoadRoster => StoreCall::Read(StoreKey::Own(OwnKey::Roster(pool))),
             PoolCall::LoadProgress => StoreCall::Range { scope: KeyScope::Progress(pool), after },
@@ -72,19 +79,32 @@
     /// Reads the jobs once the shared records include the ownership record of this owner.
     /// The shared records then also include every cancellation that precedes it.
     pub(super) fn load_jobs(&mut self, context: &mut StepContext) {
-        let owner = context.shared.owners.get(&ShardKey::Pool(self.pool.clone()));
-        let are_shared_records_current =
-            owner.is_some_and(|owner| owner.created >= self.fencing_token);
-        if self.stage.has_progress && !self.stage.is_reading_jobs && are_shared_records_current {
+        if self.stage.has_progress
+            && !self.stage.is_reading_jobs
+            && self.is_ownership_known(context.shared)
+        {
             self.stage.is_reading_jobs = true;
             self.read(context, PoolCall::LoadJobs);
         }
     }
 
-    /// Repeats failed reads that are due.
+    /// Whether the shared records include the ownership record of this owner or a later one.
+    fn is_ownership_known(&self, shared: &SharedRecords) -> bool {
+        let owner = shared.owners.get(&ShardKey::Pool(self.pool.clone()));
+        owner.is_some_and(|owner| owner.created >= self.fencing_token)
+    }
+
+    /// Repeats failed reads that are due, or gives the pool up if they have failed for long.
     pub(super) fn retry_load(&mut self, context: &mut StepContext) {
         self.load_jobs(context);
         let now = context.clock.now;
+        let waiting_since = self.stage.waiting_since.unwrap_or(now);
+        if now - waiting_since >= LOAD_STALL_TIMEOUT && self.is_ownership_known(context.shared) {
+            let inputs = format!("no page for {}", now - waiting_since);
+            context.out.log("pool-records", &self.pool, inputs, "unreadable, pool is released");
+            self.is_lost = true;
+            return;
+        }
         let retry = std::mem::take(&mut self.stage.retry);
         for (at, call) in retry {
             if now >= at {
@@ -102,6 +122,9 @@
         call: PoolCall,
         answer: StoreAnswer,
     ) {
+        if matches!(answer, StoreAnswer::Items { .. } | StoreAnswer::Absent) {
+            self.stage.waiting_since = None;
+        }
         match (call, answer) {
             (PoolCall::LoadRoster, StoreAnswer::Absent) => {
                 self.apply_roster(context, Vec::new());
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -107,7 +107,8 @@
     expiry: ExpiryQueue,
     /// Whether the daemon is stopping, so that no more tasks are placed.
     is_stopping: bool,
-    /// Whether another daemon owns the pool now.
+    /// Whether another daemon owns the pool now, or should own it because this daemon cannot
+    /// read the pool's records.
     pub(crate) is_lost: bool,
 }
 
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -22,8 +22,8 @@
 use crate::records::{OwnerRecord, encode};
 use crate::shared::SharedRecords;
 use crate::timing::{
-    ACQUIRE_DELAY_STEP, COMMIT_RETRY_DELAY, SESSION_RENEWAL_INTERVAL, SESSION_SAFETY_MARGIN,
-    SESSION_TTL,
+    ACQUIRE_DELAY_STEP, COMMIT_RETRY_DELAY, RELEASED_SHARD_PAUSE, SESSION_RENEWAL_INTERVAL,
+    SESSION_SAFETY_MARGIN, SESSION_TTL,
 };
 
 /// Store calls of [`Session`].
@@ -54,6 +54,8 @@
     acquire_times: BTreeMap<ShardKey, Moment>,
     /// Shards with an acquiring or releasing commit that is not answered yet.
     in_flight_shards: BTreeSet<ShardKey>,
+    /// Shards that the daemon does not try to acquire or release before these times.
+    paused_shards: BTreeMap<ShardKey, Moment>,
     is_closing: bool,
     pub(crate) is_closed: bool,
 }
@@ -68,6 +70,7 @@
             is_call_in_flight: false,
             acquire_times: BTreeMap::new(),
             in_flight_shards: BTreeSet::new(),
+            paused_shards: BTreeMap::new(),
             is_closing: false,
             is_closed: false,
         }
@@ -141,6 +144,7 @@
         let pools = pools.map(|(pool, _)| ShardKey::Pool(pool.clone()));
         let shards: BTreeSet<ShardKey> = pools.chain([ShardKey::VmController]).collect();
         self.acquire_times.retain(|shard, _| shards.contains(shard));
+        self.paused_shards.retain(|_, until| clock.now < *until);
         for shard in shards {
             if shared.owners.contains_key(&shard) || self.in_flight_shards.contains(&shard) {
                 self.acquire_times.remove(&shard);
@@ -148,7 +152,7 @@
             }
             let delay = self.acquire_delay(&shard, owned_count + self.in_flight_shards.len());
             let acquire_at = *self.acquire_times.entry(shard.clone()).or_insert(clock.now + delay);
-            if clock.now >= acquire_at {
+            if clock.now >= acquire_at && !self.paused_shards.contains_key(&shard) {
                 self.acquire_times.remove(&shard);
                 self.acquire_shard(clock, out, &shard);
                 break;
@@ -187,7 +191,8 @@
         shard: &ShardKey,
         fencing_token: Revision,
     ) {
-        if !self.in_flight_shards.insert(shard.clone()) {
+        let is_paused = self.paused_shards.get(shard).is_some_and(|until| clock.now < *until);
+        if is_paused || !self.in_flight_shards.insert(shard.clone()) {
             return;
         }
         let key = StoreKey::Own(OwnKey::Owner(shard.clone()));
@@ -222,6 +227,9 @@
             }
             SessionCall::Release(shard) => {
                 self.in_flight_shards.remove(&shard);
+                let is_released = matches!(answer, StoreAnswer::Committed(_));
+                let pause = if is_released { RELEASED_SHARD_PAUSE } else { COMMIT_RETRY_DELAY };
+                self.paused_shards.insert(shard, clock.now + pause);
             }
             SessionCall::Close => self.is_closed = true,
             SessionCall::Open | SessionCall::Renew(_) => self.on_lease(clock, out, sent_at, answer),
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -20,6 +20,12 @@
 pub(crate) const STORE_TIMEOUT: Millis = Millis(1_000);
 /// Delay before a failed read or watch is retried.
 pub(crate) const READ_RETRY_DELAY: Millis = Millis(150);
+/// Duration without a page of a pool's records after which the owner releases the pool; longer
+/// than the timeout of a page on a slow link.
+pub(crate) const LOAD_STALL_TIMEOUT: Millis = Millis(4_000);
+/// Duration for which a daemon does not acquire a shard that it has released, so that another
+/// daemon acquires it.
+pub(crate) const RELEASED_SHARD_PAUSE: Millis = Millis(3_000);
 /// Interval between two readings of the minions' reports.
 pub(crate) const REGISTRY_INTERVAL: Millis = Millis(400);
 /// Delay before a free shard is acquired, per shard that the daemon already owns.
--- a/crates/fleet/tests/rules/slow_links.rs
+++ b/crates/fleet/tests/rules/slow_links.rs
@@ -96,3 +96,21 @@
     assert_eq!(starts.len(), 3, "{starts:?}");
     assert!(starts.iter().skip(1).all(Option::is_some), "{starts:?}");
 }
+
+/// Guards against an owner that keeps a pool whose records it cannot read, while other daemons
+/// could read them.
+#[test]
+fn owner_that_cannot_load_its_pool_releases_it() {
+    let mut simulation = Simulation::new(1, 2, build_config());
+    simulation.store.has_full_pages = true;
+    write_waiting_jobs(&mut simulation, "pool-0", 1_200);
+    simulation.kill_daemon(1);
+    set_link(&mut simulation, 0, SLOW_LINK);
+    // The link carries less than the settings say.
+    simulation.daemons[0].link = Some(LinkRate(SLOW_LINK.0 / 5));
+    simulation.run_until(4_000);
+    simulation.start_daemon(1);
+    simulation.run_until(20_000);
+    let decisions = list_decisions(&simulation);
+    assert_eq!(decisions, ["edge-0 owned", "edge-0 given up", "edge-1 owned", "edge-1 loaded"],);
+}
