A free shard goes to the daemon with the smallest load for its capacity

What callers saw: on a fleet whose entry VMs differ fourfold in processor time, the pools were often owned by the smallest VMs, which fell behind in their turn (SHORT), while VMs with four times as much owned nothing.

Cause: the delay before a free shard is acquired grew with the number of owned shards alone, so a hash chose among all idle daemons. The delay was also fixed when the shard was first seen free, with the count of that moment: a daemon that saw several free shards counted none of them for the others.

Evidence: of the owners at the start in the incident's timeline two have 0.12 and two 0.5 cores, with eight VMs of 0.5 cores for four pools.

Change: the delay is 150 ms for each shard that a daemon of standard capacity would own, at most a second, and a hash of up to 150 ms. The capacity is the scarcer of processor (`Limits.CpuShare` x `Limits.Cores`) and link, between a quarter and twice the standard. The delay counts from when the daemon could first have acquired the shard, and uses its present count.

--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -41,7 +41,7 @@
 impl FleetCore {
     /// Creates the state machine of a daemon that has processed no event.
     pub fn new(settings: FleetSettings) -> Self {
-        let session = Session::new(settings.daemon.clone(), settings.incarnation);
+        let session = Session::new(&settings);
         Self {
             settings,
             shared: SharedRecords::default(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -47,3 +47,4 @@
     AllocationDoc, OwnerRecord, PoolDemand, PoolRoster, ProgressRecord, UncertainFailure,
     WaveProgressDoc,
 };
+pub use session::acquire_delay;
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -6,7 +6,10 @@
 
 use jobs::Resources;
 use serde::{Deserialize, Serialize};
-use state::{DaemonId, DataCentreId, Incarnation, Millis, MinionId, PoolId, QueueId, TeamId, VmId};
+use state::{
+    DaemonId, DataCentreId, Incarnation, Millicores, Millis, MinionId, PoolId, QueueId, TeamId,
+    VmId,
+};
 
 use crate::event::ClientTarget;
 
@@ -45,17 +48,43 @@
     }
 }
 
+/// Lower bound of a daemon's capacity when capacities are compared, in thousandths of the
+/// standard one, so that a small VM acquires a shard in time if there is no better one.
+const MIN_CAPACITY_PERMILLE: u64 = 250;
+/// Upper bound of a daemon's capacity when capacities are compared, in thousandths of the
+/// standard one, so that one large VM does not own all shards.
+const MAX_CAPACITY_PERMILLE: u64 = 2_000;
+
 /// Capacity of the VM on which a daemon runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DaemonCapacity {
+    /// Processor time that the daemon may use.
+    pub processor: Millicores,
     /// Bandwidth of the VM's link.
     pub link: LinkRate,
 }
 
+impl DaemonCapacity {
+    /// Returns the capacity in thousandths of the standard one, by the scarcer of processor and
+    /// link, between [`MIN_CAPACITY_PERMILLE`] and [`MAX_CAPACITY_PERMILLE`].
+    fn permille_of_standard(self) -> u64 {
+        let standard = Self::default();
+        let processor = self.processor.0.saturating_mul(1_000) / standard.processor.0;
+        let link = self.link.0.saturating_mul(1_000) / standard.link.0;
+        processor.min(link).clamp(MIN_CAPACITY_PERMILLE, MAX_CAPACITY_PERMILLE)
+    }
+
+    /// Returns the load of a daemon that owns `owned_count` shards and takes one more, in
+    /// thousandths of the load of a daemon of standard capacity that owns one shard.
+    pub(crate) fn load_permille_with_next(self, owned_count: usize) -> u64 {
+        (owned_count as u64 + 1) * 1_000_000 / self.permille_of_standard()
+    }
+}
+
 impl Default for DaemonCapacity {
     /// Returns the standard capacity, which is assumed where a setting is absent.
     fn default() -> Self {
-        Self { link: LinkRate(100_000) }
+        Self { processor: Millicores(500), link: LinkRate(100_000) }
     }
 }
 
--- a/crates/fleet/src/session.rs
+++ b/crates/fleet/src/session.rs
@@ -7,8 +7,8 @@
 //! before the renewal was sent; after the lease has expired, the daemon gives no orders
 //! and writes nothing.
 //!
-//! A daemon that owns fewer shards acquires free ones sooner, so the shards spread over
-//! the daemons without a coordinator.
+//! A daemon with more processor time, a faster link and fewer shards acquires free ones
+//! sooner, so the shards spread over the daemons by capacity without a coordinator.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -18,14 +18,32 @@
 use crate::event::Clock;
 use crate::io::{LeaseId, PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
 use crate::key::{OwnKey, ShardKey, StoreKey};
+use crate::model::{DaemonCapacity, FleetSettings};
 use crate::outbox::{CallPurpose, Outbox};
 use crate::records::{OwnerRecord, encode};
 use crate::shared::SharedRecords;
 use crate::timing::{
-    ACQUIRE_DELAY_STEP, COMMIT_RETRY_DELAY, RELEASED_SHARD_PAUSE, SESSION_RENEWAL_INTERVAL,
-    SESSION_SAFETY_MARGIN, SESSION_TTL,
+    ACQUIRE_DELAY_STEP, COMMIT_RETRY_DELAY, MAX_ACQUIRE_DELAY, RELEASED_SHARD_PAUSE,
+    SESSION_RENEWAL_INTERVAL, SESSION_SAFETY_MARGIN, SESSION_TTL,
 };
 
+/// Returns the delay before a daemon that owns `owned_count` shards acquires a free shard.
+///
+/// The delay grows with the daemon's load relative to its capacity, up to a bound, so that a
+/// free shard gets an owner soon; a hash spreads daemons with equal loads.
+pub fn acquire_delay(
+    daemon: &DaemonId,
+    capacity: DaemonCapacity,
+    shard: &ShardKey,
+    owned_count: usize,
+) -> Millis {
+    let excess_permille = capacity.load_permille_with_next(owned_count).saturating_sub(1_000);
+    let load_delay = ACQUIRE_DELAY_STEP.0 * excess_permille / 1_000;
+    let mut hasher = DefaultHasher::new();
+    (daemon.as_str(), shard).hash(&mut hasher);
+    Millis(load_delay.min(MAX_ACQUIRE_DELAY.0) + hasher.finish() % ACQUIRE_DELAY_STEP.0)
+}
+
 /// Store calls of [`Session`].
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum SessionCall {
@@ -47,11 +65,12 @@
 pub(crate) struct Session {
     daemon: DaemonId,
     incarnation: Incarnation,
+    capacity: DaemonCapacity,
     lease: Option<Lease>,
     next_call_at: Moment,
     is_call_in_flight: bool,
-    /// Time after which the daemon tries to acquire each free shard.
-    acquire_times: BTreeMap<ShardKey, Moment>,
+    /// Time since which the daemon could have acquired each free shard.
+    free_since: BTreeMap<ShardKey, Moment>,
     /// Shards with an acquiring or releasing commit that is not answered yet.
     in_flight_shards: BTreeSet<ShardKey>,
     /// Shards that the daemon does not try to acquire or release before these times.
@@ -61,14 +80,15 @@
 }
 
 impl Session {
-    pub(crate) fn new(daemon: DaemonId, incarnation: Incarnation) -> Self {
+    pub(crate) fn new(settings: &FleetSettings) -> Self {
         Self {
-            daemon,
-            incarnation,
+            daemon: settings.daemon.clone(),
+            incarnation: settings.incarnation,
+            capacity: settings.capacity,
             lease: None,
             next_call_at: Moment(0),
             is_call_in_flight: false,
-            acquire_times: BTreeMap::new(),
+            free_since: BTreeMap::new(),
             in_flight_shards: BTreeSet::new(),
             paused_shards: BTreeMap::new(),
             is_closing: false,
@@ -119,6 +139,8 @@
         }
         if self.is_valid(clock.now) && shared.is_loaded() {
             self.acquire_free_shards(clock, out, shared, owned_count);
+        } else {
+            self.free_since.clear();
         }
     }
 
@@ -143,31 +165,26 @@
         let pools = config.pools.iter().filter(|(_, pool)| !pool.is_spare);
         let pools = pools.map(|(pool, _)| ShardKey::Pool(pool.clone()));
         let shards: BTreeSet<ShardKey> = pools.chain([ShardKey::VmController]).collect();
-        self.acquire_times.retain(|shard, _| shards.contains(shard));
+        self.free_since.retain(|shard, _| shards.contains(shard));
         self.paused_shards.retain(|_, until| clock.now < *until);
         for shard in shards {
-            if shared.owners.contains_key(&shard) || self.in_flight_shards.contains(&shard) {
-                self.acquire_times.remove(&shard);
+            if shared.owners.contains_key(&shard) {
+                self.free_since.remove(&shard);
+                continue;
+            }
+            let free_since = *self.free_since.entry(shard.clone()).or_insert(clock.now);
+            if self.in_flight_shards.contains(&shard) || self.paused_shards.contains_key(&shard) {
                 continue;
             }
-            let delay = self.acquire_delay(&shard, owned_count + self.in_flight_shards.len());
-            let acquire_at = *self.acquire_times.entry(shard.clone()).or_insert(clock.now + delay);
-            if clock.now >= acquire_at && !self.paused_shards.contains_key(&shard) {
-                self.acquire_times.remove(&shard);
+            let owned_count = owned_count + self.in_flight_shards.len();
+            let delay = acquire_delay(&self.daemon, self.capacity, &shard, owned_count);
+            if clock.now >= free_since + delay {
                 self.acquire_shard(clock, out, &shard);
                 break;
             }
         }
     }
 
-    /// Returns the delay before this daemon acquires a free shard. The delay grows with
-    /// the number of owned shards; a hash spreads daemons that own the same number.
-    fn acquire_delay(&self, shard: &ShardKey, owned_count: usize) -> Millis {
-        let mut hasher = DefaultHasher::new();
-        (self.daemon.as_str(), shard).hash(&mut hasher);
-        Millis(ACQUIRE_DELAY_STEP.0 * owned_count as u64 + hasher.finish() % ACQUIRE_DELAY_STEP.0)
-    }
-
     fn acquire_shard(&mut self, clock: Clock, out: &mut Outbox, shard: &ShardKey) {
         let Some(lease) = self.lease else { return };
         self.in_flight_shards.insert(shard.clone());
@@ -218,12 +235,12 @@
         match call {
             SessionCall::Acquire(shard) => {
                 self.in_flight_shards.remove(&shard);
-                // After an unknown answer, the watch of the shared records shows the
-                // owner.
+                // The watch of the shared records shows the owner, also after an unknown
+                // answer.
+                self.paused_shards.insert(shard.clone(), clock.now + COMMIT_RETRY_DELAY);
                 if let StoreAnswer::Committed(revision) = answer {
                     return Some((shard, revision));
                 }
-                self.acquire_times.insert(shard, clock.now + COMMIT_RETRY_DELAY);
             }
             SessionCall::Release(shard) => {
                 self.in_flight_shards.remove(&shard);
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -28,8 +28,11 @@
 pub(crate) const RELEASED_SHARD_PAUSE: Millis = Millis(3_000);
 /// Interval between two readings of the minions' reports.
 pub(crate) const REGISTRY_INTERVAL: Millis = Millis(400);
-/// Delay before a free shard is acquired, per shard that the daemon already owns.
-pub(crate) const ACQUIRE_DELAY_STEP: Millis = Millis(200);
+/// Delay before a free shard is acquired, per shard that a daemon of standard capacity already
+/// owns.
+pub(crate) const ACQUIRE_DELAY_STEP: Millis = Millis(150);
+/// Maximum delay before a free shard is acquired, without the hash that spreads equal daemons.
+pub(crate) const MAX_ACQUIRE_DELAY: Millis = Millis(1_000);
 /// Maximum number of jobs that one commit accepts.
 pub(crate) const MAX_ACCEPT_BATCH: usize = 7;
 /// Maximum number of in-flight commits that accept jobs.
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -7,6 +7,7 @@
 mod checker;
 mod cloud;
 mod minion;
+mod ownership;
 mod reads;
 mod seeded_runs;
 mod simulation;
