--- a/crates/daemon/src/runtime/host.rs
+++ b/crates/daemon/src/runtime/host.rs
@@ -183,7 +183,9 @@
     fn send_store_call(self: &Arc<Self>, call: CallId, request: StoreCall) {
         let host = Arc::clone(self);
         let sent_at = read_clock();
-        let encoded_call = platform::encode_store_call(self.settings().store_address, &request);
+        let settings = self.settings();
+        let link = settings.fleet.capacity.link;
+        let encoded_call = platform::encode_store_call(settings.store_address, link, &request);
         let is_lease_call = request.is_lease_call();
         let sender =
             if is_lease_call { &self.call_senders.lease } else { &self.call_senders.ordinary };
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -1,11 +1,15 @@
 //! Configuration and reports of the platform, translated to the types of this crate.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use jobs::Resources;
 use serde::{Deserialize, Serialize};
-use state::{DaemonId, DataCentreId, Incarnation, Millis, MinionId, PoolId, QueueId, TeamId, VmId};
+use state::{
+    DaemonId, DataCentreId, Incarnation, Millicores, Millis, MinionId, PoolId, QueueId, TeamId,
+    VmId,
+};
 
 use crate::event::ClientTarget;
 
@@ -18,6 +22,8 @@
     pub incarnation: Incarnation,
     /// Data centre in which the daemon runs.
     pub data_centre: DataCentreId,
+    /// Capacity of the VM on which the daemon runs.
+    pub capacity: DaemonCapacity,
     /// Maximum lease that a minion grants to a run.
     pub max_run_lease: Millis,
     /// Duration for which orders for a VM must come from one owner of the VM
@@ -25,6 +31,63 @@
     pub controller_lease: Millis,
 }
 
+/// Bandwidth of a network link, in kbit/s.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LinkRate(pub u64);
+
+impl LinkRate {
+    /// Returns the time that the link takes to carry `bytes`, rounded up.
+    pub fn transfer_time(self, bytes: u64) -> Millis {
+        Millis((bytes * 8).div_ceil(self.0.max(1)))
+    }
+}
+
+impl fmt::Display for LinkRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} kbit/s", self.0)
+    }
+}
+
+/// Lower bound of a daemon's capacity when capacities are compared, in thousandths of the
+/// standard one, so that a small VM acquires a shard in time if there is no better one.
+const MIN_CAPACITY_PERMILLE: u64 = 250;
+/// Upper bound of a daemon's capacity when capacities are compared, in thousandths of the
+/// standard one, so that one large VM does not own all shards.
+const MAX_CAPACITY_PERMILLE: u64 = 2_000;
+
+/// Capacity of the VM on which a daemon runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DaemonCapacity {
+    /// Processor time that the daemon may use.
+    pub processor: Millicores,
+    /// Bandwidth of the VM's link.
+    pub link: LinkRate,
+}
+
+impl DaemonCapacity {
+    /// Returns the capacity in thousandths of the standard one, by the scarcer of processor and
+    /// link, between [`MIN_CAPACITY_PERMILLE`] and [`MAX_CAPACITY_PERMILLE`].
+    fn permille_of_standard(self) -> u64 {
+        let standard = Self::default();
+        let processor = self.processor.0.saturating_mul(1_000) / standard.processor.0;
+        let link = self.link.0.saturating_mul(1_000) / standard.link.0;
+        processor.min(link).clamp(MIN_CAPACITY_PERMILLE, MAX_CAPACITY_PERMILLE)
+    }
+
+    /// Returns the load of a daemon that owns `owned_count` shards and takes one more, in
+    /// thousandths of the load of a daemon of standard capacity that owns one shard.
+    pub(crate) fn load_permille_with_next(self, owned_count: usize) -> u64 {
+        (owned_count as u64 + 1) * 1_000_000 / self.permille_of_standard()
+    }
+}
+
+impl Default for DaemonCapacity {
+    /// Returns the standard capacity, which is assumed where a setting is absent.
+    fn default() -> Self {
+        Self { processor: Millicores(500), link: LinkRate(100_000) }
+    }
+}
+
 /// Queue to which jobs are submitted.
 #[derive(Debug, Clone, PartialEq)]
 pub struct QueueConfig {
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -131,7 +131,8 @@
     work: WorkCounter,
     /// Whether the daemon is stopping, so that no more tasks are placed.
     is_stopping: bool,
-    /// Whether another daemon owns the pool now.
+    /// Whether another daemon owns the pool now, or should own it because this daemon cannot
+    /// read the pool's records.
     pub(crate) is_lost: bool,
 }
 
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -18,12 +18,23 @@
 /// Interval between an answer of the shared watch and the next call, so that several
 /// changes share one answer.
 pub(crate) const SHARED_WATCH_INTERVAL: Millis = Millis(25);
+/// Timeout for a call to the store with a short answer, in addition to the wait of a watch.
+pub(crate) const STORE_TIMEOUT: Millis = Millis(1_000);
 /// Delay before a failed read or watch is retried.
 pub(crate) const READ_RETRY_DELAY: Millis = Millis(150);
+/// Duration without a page of a pool's records after which the owner releases the pool; longer
+/// than the timeout of a page on a slow link.
+pub(crate) const LOAD_STALL_TIMEOUT: Millis = Millis(4_000);
+/// Duration for which a daemon does not acquire a shard that it has released, so that another
+/// daemon acquires it.
+pub(crate) const RELEASED_SHARD_PAUSE: Millis = Millis(3_000);
 /// Interval between two readings of the minions' reports.
 pub(crate) const REGISTRY_INTERVAL: Millis = Millis(400);
-/// Delay before a free shard is acquired, per shard that the daemon already owns.
-pub(crate) const ACQUIRE_DELAY_STEP: Millis = Millis(200);
+/// Delay before a free shard is acquired, per shard that a daemon of standard capacity already
+/// owns.
+pub(crate) const ACQUIRE_DELAY_STEP: Millis = Millis(150);
+/// Maximum delay before a free shard is acquired, without the hash that spreads equal daemons.
+pub(crate) const MAX_ACQUIRE_DELAY: Millis = Millis(1_000);
 /// Maximum number of jobs that one commit accepts.
 pub(crate) const MAX_ACCEPT_BATCH: usize = 7;
 /// Maximum number of in-flight commits that accept jobs.
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -15,10 +15,10 @@
     CloudAnswer, CloudCall, ItemValue, MinionAnswer, MinionCall, MinionTarget, OrderRefusal,
     StoreAnswer, StoreCall,
 };
-use fleet::model::{FleetConfig, FleetSettings, MinionReport, WaveOrder};
+use fleet::model::{DaemonCapacity, FleetConfig, FleetSettings, LinkRate, MinionReport, WaveOrder};
 use fleet::{
-    CallId, ClientAction, ClientAnswer, ClientCall, ClientTarget, Clock, Effect, Event, FleetCore,
-    ReplyToken, StoreKey,
+    CallId, ClientAction, ClientAnswer, ClientCall, ClientTarget, Clock, DecisionLine, Effect,
+    Event, FleetCore, KeyScope, ReplyToken, StoreKey,
 };
 use jobs::{JobSpec, TaskName};
 use rand::rngs::StdRng;
@@ -28,7 +28,7 @@
 use crate::checker::{RuleChecker, SubmittedJob, Violation};
 use crate::cloud::{CloudEvent, FakeCloud, FakeVm};
 use crate::minion::{FakeMinion, MinionEvent};
-use crate::store::MemoryStore;
+use crate::store::{MemoryStore, encoded_bytes};
 use processor::Processor;
 pub use processor::ProcessorCost;
 
@@ -75,6 +75,12 @@
     /// Virtual time, in milliseconds, until which the process is suspended.
     suspended_until: u64,
     processor: Processor,
+    /// Capacity that the daemon's next incarnation finds in its settings.
+    pub capacity: DaemonCapacity,
+    /// Bandwidth of the daemon's link; `None` for answers that take no time.
+    pub link: Option<LinkRate>,
+    /// Virtual time, in milliseconds, until which the link carries earlier answers.
+    link_busy_until: u64,
 }
 
 /// Entry of the message queue.
@@ -195,6 +201,10 @@
     pub refused_count: u64,
     /// Number of events that the daemons have processed.
     pub event_count: u64,
+    /// Decisions about pools, each with its virtual time and its daemon.
+    pub pool_decisions: Vec<(u64, usize, DecisionLine)>,
+    /// Scope and start of each range that the store has answered with a page.
+    pub read_pages: Vec<(KeyScope, Option<StoreKey>)>,
     /// Messages with the daemon and its incarnation, by delivery time and sequence number.
     messages: BTreeMap<(u64, u64), (usize, u64, Message)>,
     last_sequence: u64,
@@ -229,6 +239,8 @@
             accepted_count: 0,
             refused_count: 0,
             event_count: 0,
+            pool_decisions: Vec::new(),
+            read_pages: Vec::new(),
             messages: BTreeMap::new(),
             last_sequence: 0,
             last_reply_token: 0,
@@ -247,6 +259,9 @@
                 incarnation: 0,
                 suspended_until: 0,
                 processor: Processor::default(),
+                capacity: DaemonCapacity::default(),
+                link: None,
+                link_busy_until: 0,
             });
             simulation.start_daemon(daemon);
         }
@@ -261,6 +276,7 @@
             daemon: format!("edge-{daemon}").parse().expect("valid name"),
             incarnation: Incarnation(daemon_state.incarnation),
             data_centre: "dc-1".parse().expect("valid name"),
+            capacity: daemon_state.capacity,
             max_run_lease: Millis(10_000),
             controller_lease: Millis(3_000),
         };
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -16,6 +16,9 @@
     })
 }
 
+/// Maximum transfer time of an answer that the link carries beside longer ones.
+const SHORT_TRANSFER_MS: u64 = 20;
+
 impl Simulation {
     pub(super) fn schedule_answer(
         &mut self,
@@ -44,6 +47,35 @@
         })
     }
 
+    /// Schedules an answer of the store after `delay` and the time that the daemon's link takes
+    /// to carry it. The daemon gives up a call whose answer takes longer than the call's timeout.
+    pub(super) fn schedule_store_answer(
+        &mut self,
+        (daemon, incarnation, call): (usize, u64, CallId),
+        request: &StoreCall,
+        answer: StoreAnswer,
+        delay: u64,
+    ) {
+        let daemon_state = &mut self.daemons[daemon];
+        let Some(link) = daemon_state.link else {
+            return self.schedule_answer(daemon, incarnation, delay, Event::Store(call, answer));
+        };
+        let timeout = request.timeout(daemon_state.capacity.link).0;
+        let transfer = link.transfer_time(encoded_bytes(&answer) as u64).0;
+        let is_short = transfer <= SHORT_TRANSFER_MS;
+        let earlier_until = if is_short { 0 } else { daemon_state.link_busy_until };
+        let carried_at = earlier_until.max(self.now + delay) + transfer;
+        if !is_short {
+            daemon_state.link_busy_until = carried_at.min(self.now + timeout);
+        }
+        if carried_at > self.now + timeout {
+            let event = Event::Store(call, StoreAnswer::Unknown);
+            return self.schedule_answer(daemon, incarnation, timeout, event);
+        }
+        let event = Event::Store(call, answer);
+        self.schedule_answer(daemon, incarnation, carried_at - self.now, event);
+    }
+
     pub(super) fn is_store_unreachable(&self, daemon: usize) -> bool {
         self.faults.is_store_down || self.faults.disconnected_daemons.contains(&daemon)
     }
@@ -179,6 +211,9 @@
                 if self.prints_trace {
                     println!("{} edge-{daemon} {line:?}", self.now);
                 }
+                if line.decision == "pool" {
+                    self.pool_decisions.push((self.now, daemon, line));
+                }
             }
             Effect::Stopped => self.kill_daemon(daemon),
         }
@@ -212,6 +247,9 @@
         if self.prints_trace && matches!(request, StoreCall::Commit(_)) {
             println!("{} edge-{daemon} {call:?} {request:?}", self.now);
         }
+        if let StoreCall::Range { scope, after } = &request {
+            self.read_pages.push((scope.clone(), after.clone()));
+        }
         let answer = self.store.execute(self.now, &request);
         if self.faults.kills_between_saves && self.saves_progress_ahead_of_roster(&request) {
             self.faults.kills_between_saves = false;
@@ -223,7 +261,8 @@
                 let is_commit = matches!(request, StoreCall::Commit(_));
                 let commit_delay = if is_commit { self.faults.commit_delay_ms } else { 0 };
                 let delay = self.rng.random_range(2..5) + commit_delay;
-                self.schedule_answer(daemon, incarnation, delay, Event::Store(call, answer));
+                let origin = (daemon, incarnation, call);
+                self.schedule_store_answer(origin, &request, answer, delay);
             }
             None => {
                 let StoreCall::Watch { wait, .. } = request else { return };
