A call times out by the server's silence, not by the delay of its own thread

Cause: the call thread also steps the state machine. While it does, the timer of each open call runs. tokio::time::timeout gives up at the first poll after the timer is due, although the request was not even written when the stall began, or the connection needs further polls to read the answer that waits in its socket. (An answer that the connection reads in a single poll was taken before too: the I/O events of a turn wake their tasks before the timers do.)

A call without an answer is still CallError::NoResponse, thus Unknown.

--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -17,6 +17,8 @@
 use hyper_util::rt::TokioExecutor;
 use tokio::sync::mpsc;
 
+use crate::timeout::wait_with_timeout;
+
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum time that sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
@@ -54,7 +56,8 @@
     pub headers: Vec<(&'static str, Box<str>)>,
     /// JSON body, sent as `application/json`; `None` sends an empty body.
     pub body: Option<Box<[u8]>>,
-    /// Maximum time until the complete response has arrived, including the connect time.
+    /// Maximum time until the complete response has arrived, including the connect time but
+    /// without the time for which the call thread itself was busy.
     pub timeout: Duration,
 }
 
@@ -166,10 +169,8 @@
     call: CallRequest,
 ) -> Result<CallResponse, CallError> {
     let timeout = call.timeout;
-    match tokio::time::timeout(timeout, send_request(client, call)).await {
-        Ok(result) => result,
-        Err(_) => Err(CallError::NoResponse(format!("no answer within {timeout:?}").into())),
-    }
+    let result = wait_with_timeout(timeout, send_request(client, call)).await;
+    result.unwrap_or_else(|error| Err(CallError::NoResponse(error.to_string().into())))
 }
 
 async fn send_request(
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -12,6 +12,7 @@
 mod peer;
 mod platform;
 mod server;
+mod timeout;
 mod worker;
 
 pub use caller::{CallError, CallMethod, CallRequest, CallResponse, CallSender, run_call_client};
@@ -19,4 +20,5 @@
 pub use peer::{PeerSender, PeerSettings, start_peer_thread};
 pub use platform::call_platform;
 pub use server::{BodyError, HttpServer, read_body};
+pub use timeout::{TimedOut, wait_with_timeout};
 pub use worker::call_worker;
