Keeps every connection of a burst to a minion, bounded in total

Cause: the HTTP client keeps at most four idle connections an address and closes the others as soon as their call ends, though an owner has more calls open to one minion at a time (starts, stops, a hold that waits). It has no bound in total, so that the number could not just be raised: a process has 4,100 descriptors and a daemon may own hundreds of minions.

Change: a pool of our own over hyper's connections, 16 idle ones an address, used last in first out, closed after 20 s; above 2,000 open ones the longest idle one is closed for each new one.

Evidence: tests/calls.rs, five bursts of ten calls to one server that answers when all ten have arrived. On the old code: second_burst_to_an_address_opens_no_connection: left: 34, right: 10 The other three (closed connection, cut answer, refused connection) pass on both.

--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -10,27 +10,20 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Bytes;
-use hyper::{Method, Request};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request, Response};
 use tokio::sync::mpsc;
 
+use crate::connections::{ConnectionPool, HttpConnection};
 use crate::timeout::wait_with_timeout;
 
-/// Timeout for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Maximum time that sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Idle time after which a pooled connection is closed.
-const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(20);
-/// Maximum number of idle connections in the pool for each address.
-const MAX_IDLE_PER_ADDRESS: usize = 4;
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Maximum number of calls that wait for the call thread.
 const CALL_CHANNEL_CAPACITY: usize = 4_096;
+/// How often connections that were idle for long are closed.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
 
 /// HTTP method of a [`CallRequest`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -135,77 +128,91 @@
     mut on_tick: impl FnMut(),
     mut calls: mpsc::Receiver<(CallRequest, CompletionCallback)>,
 ) {
-    let client = build_client();
+    let pool = ConnectionPool::default();
     let mut ticks = tokio::time::interval(tick_interval);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut cleanups = tokio::time::interval(CLEANUP_INTERVAL);
+    cleanups.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             call = calls.recv() => match call {
                 Some((call, on_complete)) => {
-                    let response = call_with_timeout(client.clone(), call);
+                    let response = call_with_timeout(pool.clone(), call);
                     tokio::spawn(async move { on_complete(response.await) });
                 }
                 None => return,
             },
             _ = ticks.tick() => on_tick(),
+            _ = cleanups.tick() => pool.close_expired(),
         }
     }
 }
 
-fn build_client() -> Client<HttpConnector, Full<Bytes>> {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-    Client::builder(TokioExecutor::new())
-        .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
-        .pool_max_idle_per_host(MAX_IDLE_PER_ADDRESS)
-        .build(connector)
-}
-
 /// Sends `call` and gives up after its timeout.
 async fn call_with_timeout(
-    client: Client<HttpConnector, Full<Bytes>>,
+    pool: ConnectionPool,
     call: CallRequest,
 ) -> Result<CallResponse, CallError> {
     let timeout = call.timeout;
-    let result = wait_with_timeout(timeout, send_request(client, call)).await;
+    let result = wait_with_timeout(timeout, make_call(&pool, call)).await;
     result.unwrap_or_else(|error| Err(CallError::NoResponse(error.to_string().into())))
 }
 
-async fn send_request(
-    client: Client<HttpConnector, Full<Bytes>>,
-    call: CallRequest,
-) -> Result<CallResponse, CallError> {
-    let not_sent = |error: &dyn std::error::Error| CallError::NotSent(format_error_chain(error));
-    let request = build_request(call).map_err(|error| not_sent(&error))?;
-    let response = client.request(request).await.map_err(|error| {
-        if error.is_connect() {
-            not_sent(&error)
-        } else {
-            CallError::NoResponse(format_error_chain(&error))
+async fn make_call(pool: &ConnectionPool, call: CallRequest) -> Result<CallResponse, CallError> {
+    let address = call.address;
+    let mut request =
+        build_request(call).map_err(|error| CallError::NotSent(format_error_chain(&error)))?;
+    let (connection, response) = loop {
+        let connection = pool.acquire(address).await;
+        let mut connection =
+            connection.map_err(|error| CallError::NotSent(format_error_chain(&error)))?;
+        match send_request(&mut connection, request).await? {
+            Sending::Answered(response) => break (connection, response),
+            Sending::Returned(returned) => request = returned,
         }
-    })?;
+    };
     let status = response.status().as_u16();
     let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|error| CallError::NoResponse(format_error_chain(&*error)))?;
+    pool.release(address, connection);
     Ok(CallResponse { status, body: body.to_bytes() })
 }
 
+/// Result of sending a request over a connection.
+enum Sending {
+    /// The head of the response arrived.
+    Answered(Response<Incoming>),
+    /// The server had closed the idle connection, so that the request was not sent.
+    Returned(Request<Full<Bytes>>),
+}
+
+async fn send_request(
+    connection: &mut HttpConnection,
+    request: Request<Full<Bytes>>,
+) -> Result<Sending, CallError> {
+    match connection.sender.try_send_request(request).await {
+        Ok(response) => Ok(Sending::Answered(response)),
+        Err(mut error) => match error.take_message() {
+            Some(request) if connection.is_reused => Ok(Sending::Returned(request)),
+            _ => Err(CallError::NoResponse(format_error_chain(error.error()))),
+        },
+    }
+}
+
 fn build_request(call: CallRequest) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
     let method = match call.method {
         CallMethod::Get => Method::GET,
         CallMethod::Post => Method::POST,
         CallMethod::Delete => Method::DELETE,
     };
-    let uri = format!("http://{}{}", call.address, call.path);
-    let mut request = Request::builder().method(method).uri(uri);
+    let mut request = Request::builder().method(method).uri(&*call.path);
+    request = request.header(HOST, call.address.to_string());
     for (name, value) in &call.headers {
         request = request.header(*name, &**value);
     }
     let body = match call.body {
         Some(body) => {
-            request = request.header("Content-Type", "application/json");
+            request = request.header(CONTENT_TYPE, "application/json");
             Bytes::from(body.into_vec())
         }
         None => Bytes::new(),
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,6 +8,7 @@
 //! of the workers.
 
 mod caller;
+mod connections;
 mod http;
 mod peer;
 mod platform;
