A timeout is extended by measured stalls, without further timers; fewer idle connections

The tick that the call thread has anyway now measures how late it comes (StallMeter); a timeout that expires after such a delay, or that itself expires late, is extended by the delay, to at most twice its duration.

tests/timeouts.rs: the same five cases and assertions; calls now run beside the periodic timer that measures. With tokio::time::timeout as the body of wait_with_timeout three fail, the others pass, as before: answer_that_arrives_during_stall_is_taken, answer_that_arrives_during_stall_at_end_of_timeout_is_taken, stall_before_request_is_sent_does_not_use_up_timeout: left: Err(TimedOut(600ms)), right: Ok(Ok("answer"))

Connections: 10 idle ones an address for 5 s instead of 16 for 20 s. A minion has 64 connections for all of its owners, and a pool that changes its owner each few seconds would have had more than that open by former owners.

--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -7,6 +7,7 @@
 //! connection is detected by the timeout of the call and by `TCP_USER_TIMEOUT`.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Full, Limited};
@@ -16,14 +17,14 @@
 use tokio::sync::mpsc;
 
 use crate::connections::{ConnectionPool, HttpConnection};
-use crate::timeout::wait_with_timeout;
+use crate::timeout::{StallMeter, wait_with_timeout};
 
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Maximum number of calls that wait for the call thread.
 const CALL_CHANNEL_CAPACITY: usize = 4_096;
 /// How often connections that were idle for long are closed.
-const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// HTTP method of a [`CallRequest`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -129,6 +130,7 @@
     mut calls: mpsc::Receiver<(CallRequest, CompletionCallback)>,
 ) {
     let pool = ConnectionPool::default();
+    let meter = Arc::new(StallMeter::default());
     let mut ticks = tokio::time::interval(tick_interval);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut cleanups = tokio::time::interval(CLEANUP_INTERVAL);
@@ -137,12 +139,15 @@
         tokio::select! {
             call = calls.recv() => match call {
                 Some((call, on_complete)) => {
-                    let response = call_with_timeout(pool.clone(), call);
+                    let response = call_with_timeout(pool.clone(), Arc::clone(&meter), call);
                     tokio::spawn(async move { on_complete(response.await) });
                 }
                 None => return,
             },
-            _ = ticks.tick() => on_tick(),
+            due = ticks.tick() => {
+                meter.record_delay(due.elapsed());
+                on_tick();
+            }
             _ = cleanups.tick() => pool.close_expired(),
         }
     }
@@ -151,10 +156,11 @@
 /// Sends `call` and gives up after its timeout.
 async fn call_with_timeout(
     pool: ConnectionPool,
+    meter: Arc<StallMeter>,
     call: CallRequest,
 ) -> Result<CallResponse, CallError> {
     let timeout = call.timeout;
-    let result = wait_with_timeout(timeout, make_call(&pool, call)).await;
+    let result = wait_with_timeout(&meter, timeout, make_call(&pool, call)).await;
     result.unwrap_or_else(|error| Err(CallError::NoResponse(error.to_string().into())))
 }
 
--- a/crates/transport/src/connections.rs
+++ b/crates/transport/src/connections.rs
@@ -22,10 +22,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum time that sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Idle time after which a connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Idle time after which a connection is closed; a minion has 64 connections for all of its
+/// owners, also former ones.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of idle connections for each address.
-const MAX_IDLE_PER_ADDRESS: usize = 16;
+const MAX_IDLE_PER_ADDRESS: usize = 10;
 /// Number of open connections from which on an idle one is closed for each new one; the
 /// platform limits the descriptors of a process.
 const MAX_OPEN: usize = 2_000;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -21,5 +21,5 @@
 pub use peer::{PeerSender, PeerSettings, start_peer_thread};
 pub use platform::call_platform;
 pub use server::{BodyError, HttpServer, read_body};
-pub use timeout::{TimedOut, wait_with_timeout};
+pub use timeout::{StallMeter, TimedOut, wait_with_timeout};
 pub use worker::call_worker;
--- a/crates/transport/tests/timeouts.rs
+++ b/crates/transport/tests/timeouts.rs
@@ -3,15 +3,18 @@
 //!
 //! [`stall`] stands for work that keeps the thread: time passes and no other task runs.
 
+use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::oneshot;
-use tokio::task::yield_now;
-use tokio::time::{Instant, advance, sleep};
-use transport::{TimedOut, wait_with_timeout};
+use tokio::task::{JoinHandle, yield_now};
+use tokio::time::{Instant, MissedTickBehavior, advance, interval, sleep};
+use transport::{StallMeter, TimedOut, wait_with_timeout};
 
 const TIMEOUT: Duration = Duration::from_millis(600);
+const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Number of polls that a connection needs to read a complete answer.
 const READS: usize = 4;
 
@@ -20,6 +23,23 @@
     builder.enable_time().start_paused(true).build().expect("build the runtime")
 }
 
+/// Starts a call beside a periodic timer of the thread, whose delays show the stalls.
+fn start_call<T: Send + 'static>(
+    call: impl Future<Output = T> + Send + 'static,
+) -> JoinHandle<Result<T, TimedOut>> {
+    let meter = Arc::new(StallMeter::default());
+    let timer_meter = Arc::clone(&meter);
+    tokio::spawn(async move {
+        let mut ticks = interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let due = ticks.tick().await;
+            timer_meter.record_delay(due.elapsed());
+        }
+    });
+    tokio::spawn(async move { wait_with_timeout(&meter, TIMEOUT, call).await })
+}
+
 async fn stall(duration: Duration) {
     advance(duration).await;
 }
@@ -28,7 +48,7 @@
 fn answer_that_arrives_during_stall_is_taken() {
     paused_runtime().block_on(async {
         let (answer, receiver) = oneshot::channel();
-        let call = tokio::spawn(wait_with_timeout(TIMEOUT, receiver));
+        let call = start_call(receiver);
         yield_now().await;
         let (arrival, arrived) = oneshot::channel();
         tokio::spawn(async move {
@@ -49,7 +69,7 @@
 fn answer_that_arrives_during_stall_at_end_of_timeout_is_taken() {
     paused_runtime().block_on(async {
         let (answer, receiver) = oneshot::channel();
-        let call = tokio::spawn(wait_with_timeout(TIMEOUT, receiver));
+        let call = start_call(receiver);
         sleep(TIMEOUT - Duration::from_millis(10)).await;
         tokio::spawn(async move {
             for _ in 0..READS {
@@ -66,7 +86,7 @@
 fn stall_before_request_is_sent_does_not_use_up_timeout() {
     paused_runtime().block_on(async {
         let (answer, receiver) = oneshot::channel();
-        let call = tokio::spawn(wait_with_timeout(TIMEOUT, receiver));
+        let call = start_call(receiver);
         yield_now().await;
         stall(TIMEOUT - Duration::from_millis(10)).await;
         tokio::spawn(async move {
@@ -81,7 +101,7 @@
 fn silent_server_times_out_after_timeout() {
     paused_runtime().block_on(async {
         let started = Instant::now();
-        let result = wait_with_timeout(TIMEOUT, std::future::pending::<()>()).await;
+        let result = start_call(std::future::pending::<()>()).await.expect("the call ends");
         assert_eq!(result, Err(TimedOut(TIMEOUT)));
         assert_eq!(started.elapsed(), TIMEOUT);
     });
@@ -90,7 +110,7 @@
 #[test]
 fn repeated_stalls_do_not_extend_timeout_for_ever() {
     paused_runtime().block_on(async {
-        let call = tokio::spawn(wait_with_timeout(TIMEOUT, std::future::pending::<()>()));
+        let call = start_call(std::future::pending::<()>());
         yield_now().await;
         for _ in 0..32 {
             stall(TIMEOUT).await;
