--- a/crates/transport/src/connections.rs
+++ b/crates/transport/src/connections.rs
@@ -24,7 +24,7 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time after which a connection is closed; a minion has 64 connections for all of its
 /// owners, also former ones.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum number of idle connections for each address.
 const MAX_IDLE_PER_ADDRESS: usize = 10;
 /// Number of open connections from which on an idle one is closed for each new one; the
