--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,10 +8,12 @@
 //! of the workers.
 
 mod caller;
+mod connections;
 mod http;
 mod peer;
 mod platform;
 mod server;
+mod timeout;
 mod worker;
 
 pub use caller::{CallError, CallMethod, CallRequest, CallResponse, CallSender, run_call_client};
@@ -19,4 +21,5 @@
 pub use peer::{PeerSender, PeerSettings, start_peer_thread};
 pub use platform::call_platform;
 pub use server::{BodyError, HttpServer, read_body};
+pub use timeout::{StallMeter, TimedOut, wait_with_timeout};
 pub use worker::call_worker;
