Two tests of jobs that wait for ever, both red: a split limit, a departed minion

What callers see: LOST, an accepted job that could run and does not.

1. stalls::split_limit_does_not_block_all_pools. A pool that is short of a team's limit never gives up the part that it has and does not use (pool/limits.rs, rebalance), so two short pools, each with a part smaller than its next task, wait for each other for ever. Output: LOST ' is Some(Active) at the end', ' is Some(Queued) ...'. 2. stalls::uncertain_failure_of_departed_minion_does_not_block_its_task. A minion that never answered the new owner and leaves after the leases have expired is dropped without discounting its uncertain failures (pool/orders.rs, expire_leases): the task has no attempts left and its failure is never certain. Output: LOST ' is Some(Active) at the end'.

The simulation can keep the reports of unreachable minions (off for all other tests).

--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -9,4 +9,5 @@
 mod minion;
 mod seeded_runs;
 mod simulation;
+mod stalls;
 mod store;
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -58,6 +58,8 @@
     pub run_failure_probability: f64,
     /// The next daemon whose commit saves progress of jobs without the roster is killed.
     pub kills_between_saves: bool,
+    /// The store keeps the reports of minions that are down or partitioned.
+    pub keeps_reports: bool,
     /// The cloud answers no daemon.
     pub is_cloud_down: bool,
 }
--- a/crates/fleet/tests/rules/simulation/environment.rs
+++ b/crates/fleet/tests/rules/simulation/environment.rs
@@ -83,7 +83,7 @@
                         self.checker.draining_since.entry(id.clone()).or_insert(self.now);
                     }
                 }
-            } else {
+            } else if !self.faults.keeps_reports {
                 self.store.remove(&key);
             }
         }
