--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -15,5 +15,5 @@
 mod seeded_runs;
 mod simulation;
 mod slow_links;
-mod stalled_allocations;
+mod stalls;
 mod store;
--- a/crates/fleet/tests/rules/stalled_allocations.rs
+++ b/crates/fleet/tests/rules/stalls.rs
@@ -1,12 +1,12 @@
-//! Scenarios in which every pool has an allocation of a team's limit that is too small for its
-//! next task, although the limit allows the task.
+//! Scenarios of a small fleet after which an accepted job must not wait for ever.
 
 use std::collections::BTreeMap;
 
 use fleet::model::{FleetConfig, MinionReport, PoolConfig, QueueConfig, TeamConfig};
+use fleet::{OwnKey, StoreKey};
 use jobs::{JobPhase, JobSpec, Resources, StepSpec};
 use rstest::rstest;
-use state::{AcceleratorCount, Mebibytes, Millicores, Millis};
+use state::{AcceleratorCount, JobId, Mebibytes, Millicores, Millis, MinionId, Revision};
 
 use crate::simulation::{PlannedJob, Simulation};
 
@@ -54,13 +54,13 @@
     FleetConfig { version: 1, queues, pools, teams: vec![team] }
 }
 
-fn build_report(pool: usize) -> MinionReport {
+fn build_report(pool: usize, number: usize) -> MinionReport {
     MinionReport {
-        minion: format!("i-{pool}").parse().expect("valid name"),
+        minion: format!("i-{pool}{number}").parse().expect("valid name"),
         minion_incarnation: 1,
-        vm: Some(format!("vm-{pool}").parse().expect("valid name")),
+        vm: Some(format!("vm-{pool}{number}").parse().expect("valid name")),
         pool: format!("pool-{pool}").parse().expect("valid name"),
-        address: format!("10.0.{pool}.1:80").parse().expect("valid address"),
+        address: format!("10.0.{pool}.{number}:80").parse().expect("valid address"),
         data_centre: "dc-0".parse().expect("valid name"),
         is_draining: false,
         capacity: processor_and_memory(64_000, 256_000),
@@ -81,6 +81,45 @@
     JobSpec { payload: "text".into(), steps, timetable: None }
 }
 
+/// Builds a simulation with one minion in each pool, and runs it until all pools have owners.
+fn build_simulation(limit: Resources) -> Simulation {
+    let mut simulation = Simulation::new(1, DAEMON_COUNT, build_config(limit));
+    for pool in 0..POOL_COUNT {
+        simulation.add_minion(build_report(pool, 0));
+    }
+    simulation.run_until(SETTLING_MS);
+    simulation
+}
+
+/// Plans a chain of steps for a queue, and returns the job's name.
+fn submit_chain(
+    simulation: &mut Simulation,
+    delay_ms: u64,
+    queue: usize,
+    demands: &[Resources],
+) -> JobId {
+    let name: JobId = format!("{:016x}", 0x1000 + queue).parse().expect("valid name");
+    let team = "team-0".parse().expect("valid name");
+    let planned = PlannedJob { team, spec: build_chain(demands), queue, cancel_after: None };
+    simulation.plan_job(delay_ms, name.clone(), planned);
+    name
+}
+
+/// Runs the simulation until a job's progress was saved the given number of times.
+fn run_until_saved(simulation: &mut Simulation, job: &JobId, saves: usize) {
+    let pool = "pool-0".parse().expect("valid name");
+    let key = StoreKey::Own(OwnKey::Progress(pool, job.clone()));
+    let mut last_revision = Revision(0);
+    let mut saved = 0;
+    while saved < saves {
+        simulation.run_until(simulation.now + 1);
+        assert!(simulation.now < RUN_END_MS, "the progress was saved {saved} times");
+        let revision = simulation.store.get(&key).map_or(Revision(0), |item| item.revision);
+        saved += usize::from(revision != last_revision);
+        last_revision = revision;
+    }
+}
+
 /// Guards against a team's limit that stays split into allocations of which none is enough
 /// for a task: no task of the team runs any more.
 #[rstest]
@@ -96,22 +135,13 @@
 )]
 fn split_limit_does_not_block_all_pools(
     #[case] limit: Resources,
-    #[case] first_pool: &[Resources],
-    #[case] second_pool: &[Resources],
+    #[case] first_chain: &[Resources],
+    #[case] second_chain: &[Resources],
 ) {
-    let mut simulation = Simulation::new(1, DAEMON_COUNT, build_config(limit));
-    for pool in 0..POOL_COUNT {
-        simulation.add_minion(build_report(pool));
-    }
-    simulation.run_until(SETTLING_MS);
-    for (queue, demands) in [first_pool, second_pool].into_iter().enumerate() {
-        let name = format!("{:016x}", 0x1000 + queue).parse().expect("valid name");
-        let team = "team-0".parse().expect("valid name");
-        let spec = build_chain(demands);
-        let planned = PlannedJob { team, spec, queue, cancel_after: None };
-        // The second pool asks for its task while the first one's first task runs.
-        simulation.plan_job(100 + 200 * queue as u64, name, planned);
-    }
+    let mut simulation = build_simulation(limit);
+    submit_chain(&mut simulation, 100, 0, first_chain);
+    // The second pool asks for its task while the first pool's first task runs.
+    submit_chain(&mut simulation, 300, 1, second_chain);
     simulation.run_until(RUN_END_MS);
     simulation.checker.check_final_state(simulation.now);
     assert_eq!(simulation.checker.violations, Vec::new());
@@ -121,20 +151,34 @@
 /// limit, so that no other task of the team runs.
 #[test]
 fn task_over_the_limit_does_not_block_other_pools() {
-    let limit = processor_and_memory(6_000, 64_000);
-    let mut simulation = Simulation::new(1, DAEMON_COUNT, build_config(limit));
-    for pool in 0..POOL_COUNT {
-        simulation.add_minion(build_report(pool));
-    }
-    simulation.run_until(SETTLING_MS);
-    let demands = [processor_and_memory(7_000, 500), processor_and_memory(4_000, 500)];
-    for (queue, demand) in demands.into_iter().enumerate() {
-        let name = format!("{:016x}", 0x1000 + queue).parse().expect("valid name");
-        let team = "team-0".parse().expect("valid name");
-        let planned = PlannedJob { team, spec: build_chain(&[demand]), queue, cancel_after: None };
-        simulation.plan_job(100 + 200 * queue as u64, name, planned);
-    }
+    let mut simulation = build_simulation(processor_and_memory(6_000, 64_000));
+    submit_chain(&mut simulation, 100, 0, &[processor_and_memory(7_000, 500)]);
+    submit_chain(&mut simulation, 300, 1, &[processor_and_memory(4_000, 500)]);
     simulation.run_until(RUN_END_MS);
     let phases: Vec<_> = simulation.checker.jobs.values().map(|job| job.phase).collect();
     assert_eq!(phases, [Some(JobPhase::Queued), Some(JobPhase::Complete)]);
 }
+
+/// Guards against a failure that stays uncertain because its minion left without an answer to
+/// the new owner: the task is neither started again nor failed.
+#[test]
+fn uncertain_failure_of_departed_minion_does_not_block_its_task() {
+    let mut simulation = build_simulation(processor_and_memory(60_000, 64_000));
+    simulation.faults.run_failure_probability = 1.0;
+    let job = submit_chain(&mut simulation, 100, 0, &[processor_and_memory(1_000, 500)]);
+    // Each of the first two failures is saved as uncertain and then as certain.
+    run_until_saved(&mut simulation, &job, 5);
+    simulation.faults.run_failure_probability = 0.0;
+    simulation.faults.keeps_reports = true;
+    let departing: MinionId = "i-00".parse().expect("valid name");
+    simulation.minions.get_mut(&departing).expect("known minion").is_partitioned = true;
+    (0..DAEMON_COUNT).for_each(|daemon| simulation.kill_daemon(daemon));
+    (0..DAEMON_COUNT).for_each(|daemon| simulation.start_daemon(daemon));
+    // The leases of earlier owners expire while the registry still lists the minion.
+    simulation.run_until(simulation.now + 15_000);
+    simulation.faults.keeps_reports = false;
+    simulation.add_minion(build_report(0, 1));
+    simulation.run_until(RUN_END_MS);
+    simulation.checker.check_final_state(simulation.now);
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
