Uncertain failures of a departed minion no longer block their tasks

A task is neither started again nor failed. Cause: failures of an earlier owner that are uncertain were discounted once, when its leases had expired, for the minions unknown at that time. A minion that the registry still listed then, and that left without an answer to the new owner, kept its failures uncertain for ever. Change: the failures are discounted when such minions are dropped.

--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -47,6 +47,11 @@
     pub(super) fn is_loaded(&self) -> bool {
         self.has_roster && self.has_jobs && self.has_progress
     }
+
+    /// Whether no run of an earlier owner can still execute without being listed.
+    pub(super) fn has_resolved_unknown_runs(&self) -> bool {
+        self.has_resolved_unknown_runs
+    }
 }
 
 impl PoolOwner {
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -136,7 +136,12 @@
             }
         }
         let is_gone_unfenced = |minion: &OwnedMinion| !minion.is_listed && !minion.is_fenced;
+        let count = self.minions.len();
         self.minions.retain(|_, minion| !is_gone_unfenced(minion));
+        // Failures of these minions can no longer be confirmed.
+        if self.minions.len() < count && self.stage.has_resolved_unknown_runs() {
+            self.discount_unknown_incarnations(context);
+        }
     }
 
     /// Sends a hold to each minion that is due for one.
