Starts of an owner that is behind are no longer refused as late

Cause: the owner takes a minion's clock from its answers as of the time at which it processes them. An answer that waited two seconds for the processor makes the estimate two seconds low, and a start that is valid for 1.5 s of the minion's clock has then expired when it arrives. Each refusal is one more event, and leases that holds renew are shorter by the same delay.

Change: the estimate goes on from the earlier one, at the lowest rate of a minion's clock, and is kept within what the newest reading allows: not below it, and not above it plus the time since the hold was sent. The end of a lease is still computed from the newest reading alone, which is never too high, so a lease is not taken for expired too early. START_VALIDITY can be exceeded by at most the time between a hold and its processed answer.

--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -136,6 +136,7 @@
         let now = context.clock.now;
         let Some(minion) = self.minions.get_mut(id) else { return };
         minion.set_clock(clock_ms, now);
+        minion.bound_clock(sent_at);
         minion.next_hold_at = now;
         minion.is_unresponsive = false;
         if !minion.is_fenced {
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -61,6 +61,9 @@
     pub(super) is_in_roster: bool,
     /// Newest reading of the minion's clock, in milliseconds, and the time of its arrival.
     clock: Option<(u64, Moment)>,
+    /// Estimate of the minion's clock, in milliseconds, and the time of the estimate. The reading
+    /// of an answer that waited for this daemon's processor is too low.
+    clock_estimate: Option<(u64, Moment)>,
     /// Time by which every lease ever sent has expired, allowing for the error of the
     /// clock.
     lease_end: Moment,
@@ -97,6 +100,7 @@
             is_fenced: false,
             is_in_roster: false,
             clock: None,
+            clock_estimate: None,
             lease_end: Moment(0),
             runs: BTreeMap::new(),
             used: Resources::default(),
@@ -128,15 +132,30 @@
         self.report.capacity.saturating_sub(&self.used)
     }
 
-    /// Records a reading of the minion's clock that arrived at `now`.
+    /// Records a reading of the minion's clock that was processed at `now`.
     pub(super) fn set_clock(&mut self, clock_ms: u64, now: Moment) {
+        let expected_ms = self.clock_at(now).unwrap_or(clock_ms);
+        self.clock_estimate = Some((expected_ms.max(clock_ms), now));
         self.clock = Some((clock_ms, now));
     }
 
-    /// Estimates the minion's clock at `now`, in milliseconds. The true clock may be
-    /// slightly ahead, by the transit time of the answer.
+    /// Lowers the estimate of the minion's clock to the highest value that the clock can have,
+    /// since the newest reading was taken after `sent_at`.
+    pub(super) fn bound_clock(&mut self, sent_at: Moment) {
+        if let (Some((clock_ms, at)), Some((estimate_ms, _))) =
+            (self.clock, &mut self.clock_estimate)
+        {
+            *estimate_ms = (*estimate_ms).min(clock_ms + (at - sent_at).0);
+        }
+    }
+
+    /// Estimates the minion's clock at `now`, in milliseconds, for the end of a lease or of a
+    /// start's validity. [`Self::extend_lease`] relies on the newest reading alone.
     pub(super) fn clock_at(&self, now: Moment) -> Option<u64> {
-        self.clock.map(|(clock_ms, at)| clock_ms + (now - at).0)
+        self.clock_estimate.map(|(estimate_ms, at)| {
+            let elapsed_ms = (now - at).0;
+            estimate_ms + elapsed_ms - elapsed_ms * CLOCK_ERROR_PERMILLE / 1_000
+        })
     }
 
     /// Records that all runs may execute until the minion's clock reaches `until_clock`.
--- a/crates/fleet/tests/rules/overload.rs
+++ b/crates/fleet/tests/rules/overload.rs
@@ -2,6 +2,7 @@
 //! or its process stands still for a while.
 
 use fleet::ShardKey;
+use jobs::JobPhase;
 use rstest::rstest;
 use state::Millicores;
 
@@ -37,6 +38,14 @@
     simulation.store.ownership_counts[&first_pool()]
 }
 
+fn assert_jobs_complete(simulation: &mut Simulation) {
+    simulation.checker.check_final_state(simulation.now);
+    assert_eq!(simulation.checker.violations, Vec::new());
+    for (name, job) in &simulation.checker.jobs {
+        assert_eq!(job.phase, Some(JobPhase::Complete), "{name}");
+    }
+}
+
 /// Duration for which the daemons stand still: longer than a lease is valid by its daemon's
 /// clock, shorter than it lasts in the store.
 const SHORT_STANDSTILL_MS: u64 = 2_750;
@@ -98,4 +107,5 @@
     );
     simulation.run_until(END_MS);
     assert_eq!(count_owners(&simulation), 1, "owners of the pool");
+    assert_jobs_complete(&mut simulation);
 }
