A start that a new incarnation of a minion carries out is stopped before its task starts elsewhere

Cause: a minion that restarts under its id carries out a start that was sent before the owner knew of the restart, since the order names the id only. The registry's news of the new incarnation then released that run like those of the previous incarnation, and its task started elsewhere. Change: a run that no hold has listed is uncertain when an incarnation begins. It is stopped, and its task starts elsewhere once the new incarnation has answered the stop (it refuses the run from then on) and does not list the run, or the longest lease has expired. A start that is carried out late by a new incarnation that cannot be reached for that long remains possible. The beginning of an incarnation moved to a module of its own.

--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -252,6 +252,7 @@
                 known.phase = RunPhase::Running;
                 known.confirmed_at = now;
             }
+            known.is_listed = true;
             known.percent = row.percent;
             known.reported_metric = row.reported_metric;
             if let Some(checkpoint) = row.checkpoint {
@@ -294,6 +295,7 @@
             team,
             reservation,
             is_long_running,
+            is_listed: true,
             percent: row.percent,
             reported_metric: row.reported_metric,
             processor_share: 100,
@@ -322,6 +324,7 @@
             let is_listed = listed.contains(key);
             let should_be_listed = match run.phase {
                 RunPhase::Starting { until_clock } => clock_ms > until_clock,
+                RunPhase::Uncertain { .. } => false,
                 _ => run.confirmed_at < sent_at,
             };
             should_be_listed && !is_listed
--- /dev/null
+++ b/crates/fleet/src/pool/incarnation.rs
@@ -0,0 +1,92 @@
+//! A new incarnation of a minion under the id of the previous one.
+//!
+//! No run of the previous incarnation can still execute. But a start that was sent before the
+//! owner knew of the new incarnation names the same minion, and the new incarnation carries it
+//! out. A run that no hold has listed may therefore execute now, or later if the order is
+//! still on its way. Its task starts elsewhere only after the new incarnation has answered a
+//! stop, after which it refuses the run.
+
+use jobs::{RunNumber, TaskName};
+use state::{Millis, MinionId, Moment};
+
+use super::minion::{MinionRun, OwnedMinion, RunKey, RunPhase};
+use super::{PoolOwner, StepContext};
+use crate::io::MinionAnswer;
+use crate::timing::{CLOCK_ERROR_PERMILLE, STOP_RETRY_DELAY};
+
+impl PoolOwner {
+    /// Begins a new incarnation of a minion: releases the runs that the previous one has
+    /// listed, and stops those that the new one may execute.
+    pub(super) fn begin_incarnation(
+        &mut self,
+        context: &mut StepContext,
+        id: &MinionId,
+        incarnation: u64,
+    ) {
+        let uncertain_runs = self.take_uncertain_runs(context.clock.now, id);
+        self.release_all_runs(context, id, "its minion has begun a new incarnation");
+        self.stage.unconfirmed_minions.remove(id);
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        let mut report = minion.report.clone();
+        report.minion_incarnation = incarnation;
+        let (is_listed, is_hold_in_flight) = (minion.is_listed, minion.is_hold_in_flight);
+        *minion = OwnedMinion::new(report, 0);
+        minion.is_listed = is_listed;
+        minion.is_hold_in_flight = is_hold_in_flight;
+        context.out.log("minion", id, format!("incarnation {incarnation}"), "new incarnation");
+        if uncertain_runs.is_empty() {
+            return;
+        }
+        // The new incarnation's clock began anew, so it limits the lease of such a start by the
+        // maximum only.
+        let max_lease = context.settings.max_run_lease.0;
+        let clock_error = max_lease * CLOCK_ERROR_PERMILLE / 1_000;
+        minion.set_lease_end(context.clock.now + Millis(max_lease + clock_error));
+        let stops: Vec<RunKey> = uncertain_runs.iter().map(|(key, _)| key.clone()).collect();
+        for (key, run) in uncertain_runs {
+            minion.insert_run(key, run);
+        }
+        for (task, run) in stops {
+            let inputs = format!("run {run} on {id}, incarnation {incarnation}");
+            context.out.log("run", &task, inputs, "may execute in the new incarnation; stopped");
+            self.stop_run(context, id, &task, run);
+        }
+    }
+
+    /// Removes the runs from a minion that no hold has listed, as uncertain runs.
+    fn take_uncertain_runs(&mut self, now: Moment, id: &MinionId) -> Vec<(RunKey, MinionRun)> {
+        let Some(minion) = self.minions.get_mut(id) else { return Vec::new() };
+        let is_unlisted = |(_, run): &(&RunKey, &MinionRun)| !run.is_listed;
+        let keys: Vec<RunKey> =
+            minion.runs.iter().filter(is_unlisted).map(|(key, _)| key.clone()).collect();
+        let take = |key: RunKey| {
+            let mut run = minion.remove_run(&key)?;
+            run.phase = RunPhase::Uncertain { retry_at: now + STOP_RETRY_DELAY };
+            Some((key, run))
+        };
+        keys.into_iter().filter_map(take).collect()
+    }
+
+    /// Handles the answer to a stop. The minion refuses the run from now on, so a run that the
+    /// next hold does not list no longer executes.
+    pub(super) fn on_stop_answered(
+        &mut self,
+        now: Moment,
+        id: &MinionId,
+        incarnation: u64,
+        key: &(TaskName, RunNumber),
+        answer: &MinionAnswer,
+    ) {
+        let MinionAnswer::Ok { .. } = answer else { return };
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        if minion.report.minion_incarnation != incarnation {
+            return;
+        }
+        if let Some(run) = minion.runs.get_mut(key)
+            && let RunPhase::Uncertain { retry_at } = run.phase
+        {
+            run.phase = RunPhase::Stopping { retry_at };
+            run.confirmed_at = now;
+        }
+    }
+}
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -24,6 +24,20 @@
     Running,
     /// A stop was sent and is sent again at `retry_at`.
     Stopping { retry_at: Moment },
+    /// The start was sent before the owner knew of the minion's current incarnation, which
+    /// may have carried it out or may still do so. A stop was sent and is sent again at
+    /// `retry_at`; once it is answered, the run can no longer start.
+    Uncertain { retry_at: Moment },
+}
+
+impl RunPhase {
+    /// Returns the time at which a stop of the run is sent again.
+    pub(super) fn stop_retry_at(self) -> Option<Moment> {
+        match self {
+            Self::Stopping { retry_at } | Self::Uncertain { retry_at } => Some(retry_at),
+            Self::Starting { .. } | Self::Running => None,
+        }
+    }
 }
 
 /// Task and run number, which together identify a run.
@@ -39,6 +53,8 @@
     pub(super) reservation: Resources,
     /// Whether the run belongs to a long-running job, or to an unknown one.
     pub(super) is_long_running: bool,
+    /// Whether a hold of the minion's current incarnation has listed the run.
+    pub(super) is_listed: bool,
     /// Progress that the task reported last; a long-running task serves at 100.
     pub(super) percent: u8,
     /// Metric that the task reported last: tail latency in milliseconds for a serving task,
@@ -183,6 +199,11 @@
         self.lease_end = self.lease_end.max(at + Millis(duration + clock_error)).max(now);
     }
 
+    /// Records that a run may execute until `lease_end`.
+    pub(super) fn set_lease_end(&mut self, lease_end: Moment) {
+        self.lease_end = self.lease_end.max(lease_end);
+    }
+
     /// Whether every lease sent has expired, so that no run can still execute.
     pub(super) fn are_leases_expired(&self, now: Moment) -> bool {
         now >= self.lease_end
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -21,6 +21,7 @@
 mod expiry;
 mod failures;
 mod hold_queue;
+mod incarnation;
 mod job;
 mod job_table;
 mod limits;
@@ -85,7 +86,7 @@
     /// Start of a run.
     Start { minion: MinionId, incarnation: u64, task: TaskName, run: RunNumber },
     /// Stop of a run.
-    Stop,
+    Stop { minion: MinionId, incarnation: u64, task: TaskName, run: RunNumber },
     /// Change of a best-effort run's processor share, in percent.
     Throttle { minion: MinionId, task: TaskName, run: RunNumber, percent: u8 },
     /// Commit of a maintenance wave's progress.
@@ -241,8 +242,15 @@
             PoolCall::Throttle { minion, task, run, percent } => {
                 self.on_throttle_answered(&minion, &task, run, percent, &answer);
             }
-            // The answer to a stop is not needed: a stopped run is listed as finished, and
-            // the stop is sent again until then.
+            PoolCall::Stop { minion, incarnation, task, run } => {
+                self.on_stop_answered(
+                    context.clock.now,
+                    &minion,
+                    incarnation,
+                    &(task, run),
+                    &answer,
+                );
+            }
             _ => {}
         }
         self.advance(context);
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -75,26 +75,6 @@
         }
     }
 
-    /// Begins a new incarnation of a minion: no run of the previous one can still execute.
-    pub(super) fn begin_incarnation(
-        &mut self,
-        context: &mut StepContext,
-        id: &MinionId,
-        incarnation: u64,
-    ) {
-        self.release_all_runs(context, id, "its minion has begun a new incarnation");
-        self.stage.unconfirmed_minions.remove(id);
-        if let Some(minion) = self.minions.get_mut(id) {
-            let mut report = minion.report.clone();
-            report.minion_incarnation = incarnation;
-            let (is_listed, is_hold_in_flight) = (minion.is_listed, minion.is_hold_in_flight);
-            *minion = OwnedMinion::new(report, 0);
-            minion.is_listed = is_listed;
-            minion.is_hold_in_flight = is_hold_in_flight;
-            context.out.log("minion", id, format!("incarnation {incarnation}"), "new incarnation");
-        }
-    }
-
     /// Releases all runs of a minion on which nothing can execute any more, so that their
     /// tasks can start elsewhere. `reason` is logged for each run.
     pub(super) fn release_all_runs(
@@ -214,13 +194,20 @@
         let Some(minion) = self.minions.get_mut(id) else { return };
         let Some(run) = minion.runs.get_mut(&(task.clone(), number)) else { return };
         minion.may_have_stops = true;
-        run.phase = RunPhase::Stopping { retry_at: now + STOP_RETRY_DELAY };
+        let retry_at = now + STOP_RETRY_DELAY;
+        run.phase = match run.phase {
+            RunPhase::Uncertain { .. } => RunPhase::Uncertain { retry_at },
+            _ => RunPhase::Stopping { retry_at },
+        };
         if !context.is_ownership_valid {
             return;
         }
         let order = MinionCall::Stop { task: task.clone(), run: number };
         let target = minion_target(minion);
-        let purpose = self.purpose(PoolCall::Stop);
+        let incarnation = minion.report.minion_incarnation;
+        let stop =
+            PoolCall::Stop { minion: id.clone(), incarnation, task: task.clone(), run: number };
+        let purpose = self.purpose(stop);
         context.out.call_minion(context.clock, purpose, target, self.fencing_token.0, order);
     }
 
@@ -236,7 +223,7 @@
             self.work.add(minion.runs.len());
             minion.may_have_stops = false;
             for (key, run) in &minion.runs {
-                let RunPhase::Stopping { retry_at } = run.phase else { continue };
+                let Some(retry_at) = run.phase.stop_retry_at() else { continue };
                 minion.may_have_stops = true;
                 if now >= retry_at {
                     due.push((id.clone(), key.clone()));
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -295,6 +295,7 @@
                 team: group.team.cloned(),
                 reservation,
                 is_long_running: job.spec.is_long_running(),
+                is_listed: false,
                 percent: 0,
                 reported_metric: None,
                 processor_share: 100,
