A rejected call never completes on the thread that sends it

Cause: a call that found the call channel full ran its callback at once. The sending thread holds the lock of the state machine, and the callback posts an event, which waits for that lock: the daemon would hang for ever, with a lease that lapses. Evidence: call_that_finds_the_channel_full_completes_on_the_call_thread fails on the old code. Change: the callback goes to the call thread, which completes it as not sent.

--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -81,14 +81,18 @@
 #[derive(Clone)]
 pub struct CallSender {
     sender: mpsc::Sender<(CallRequest, CompletionCallback)>,
+    /// Callbacks of calls that found the channel full. There are at most as many as the caller
+    /// has calls without a result.
+    rejected: mpsc::UnboundedSender<CompletionCallback>,
 }
 
 impl CallSender {
     /// Submits `call` to the call thread.
     ///
-    /// `on_complete` runs on the call thread and must not block. If the channel is
-    /// full, or the call thread has ended, `on_complete` runs at once on the current
-    /// thread with [`CallError::NotSent`].
+    /// `on_complete` runs on the call thread and must not block. It never runs inside this
+    /// function, since the caller may hold a lock that `on_complete` needs. If the channel
+    /// is full, the result is [`CallError::NotSent`]. After the call thread has ended, there
+    /// is no result.
     pub fn send(
         &self,
         call: CallRequest,
@@ -96,7 +100,8 @@
     ) {
         if let Err(rejected) = self.sender.try_send((call, Box::new(on_complete))) {
             let (_, on_complete) = rejected.into_inner();
-            on_complete(Err(CallError::NotSent("the call channel is full or closed".into())));
+            // After the call thread has ended, nobody waits for the result.
+            let _ = self.rejected.send(on_complete);
         }
     }
 }
@@ -119,8 +124,9 @@
         .build()
         .map_err(|error| error.to_string())?;
     let (sender, calls) = mpsc::channel(CALL_CHANNEL_CAPACITY);
-    on_start(CallSender { sender });
-    runtime.block_on(process_calls(tick_interval, on_tick, calls));
+    let (rejected, rejections) = mpsc::unbounded_channel();
+    on_start(CallSender { sender, rejected });
+    runtime.block_on(process_calls(tick_interval, on_tick, calls, rejections));
     Ok(())
 }
 
@@ -128,6 +134,7 @@
     tick_interval: Duration,
     mut on_tick: impl FnMut(),
     mut calls: mpsc::Receiver<(CallRequest, CompletionCallback)>,
+    mut rejections: mpsc::UnboundedReceiver<CompletionCallback>,
 ) {
     let pool = ConnectionPool::default();
     let meter = Arc::new(StallMeter::default());
@@ -144,6 +151,9 @@
                 }
                 None => return,
             },
+            Some(on_complete) = rejections.recv() => {
+                on_complete(Err(CallError::NotSent("the call channel is full".into())));
+            }
             due = ticks.tick() => {
                 meter.record_delay(due.elapsed());
                 on_tick();
--- a/crates/transport/tests/calls.rs
+++ b/crates/transport/tests/calls.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
-use std::sync::{Arc, Barrier};
+use std::sync::{Arc, Barrier, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -128,3 +128,36 @@
     let answer = send_get(&start_client(), address).recv().expect("the call ends");
     assert!(matches!(answer, Err(CallError::NotSent(_))), "{answer:?}");
 }
+
+/// Guards against a callback that waits for a lock which its own thread holds while it sends.
+#[test]
+fn call_that_finds_the_channel_full_completes_on_the_call_thread() {
+    const CALLS: usize = 5_000;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
+    let address = listener.local_addr().expect("read the local address");
+    drop(listener);
+    let lock = Arc::new(Mutex::new(()));
+    let sender = start_client();
+    let guard = lock.lock().expect("no thread has panicked");
+    let (complete, completed) = channel();
+    for _ in 0..CALLS {
+        let (lock, complete) = (Arc::clone(&lock), complete.clone());
+        let request = CallRequest {
+            address,
+            method: CallMethod::Get,
+            path: "/".into(),
+            headers: Vec::new(),
+            body: None,
+            timeout: Duration::from_secs(60),
+        };
+        let sending_thread = thread::current().id();
+        sender.send(request, move |answer| {
+            let is_on_sending_thread = thread::current().id() == sending_thread;
+            drop((!is_on_sending_thread).then(|| lock.lock()));
+            let _ = complete.send((is_on_sending_thread, answer.is_err()));
+        });
+    }
+    drop(guard);
+    let results: Vec<(bool, bool)> = completed.iter().take(CALLS).collect();
+    assert_eq!(results, vec![(false, true); CALLS]);
+}
