An uncertain run on a restarted minion that never answers is released

Cause: leases expire only for minions that have answered, and minions that have not are dropped without their runs. A minion that restarts while a start is on its way and never answers kept the task for ever (LOST), and its quota. A second place: news of a new incarnation also counted as the answer of a roster minion, though a start of an earlier owner may reach the new incarnation too (TWICE; by reading, no run shows it). Evidence: start_to_a_restarted_minion_that_never_answers_is_given_up, both cases fail before this commit (LOST, the job is Active at the end). Change: the expiry of leases includes minions with uncertain runs, they are dropped only without runs, and a roster minion counts as confirmed only by its own answer.

--- a/crates/fleet/src/pool/incarnation.rs
+++ b/crates/fleet/src/pool/incarnation.rs
@@ -25,7 +25,6 @@
     ) {
         let uncertain_runs = self.take_uncertain_runs(context.clock.now, id);
         self.release_all_runs(context, id, "its minion has begun a new incarnation");
-        self.stage.unconfirmed_minions.remove(id);
         let Some(minion) = self.minions.get_mut(id) else { return };
         let mut report = minion.report.clone();
         report.minion_incarnation = incarnation;
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -97,8 +97,10 @@
     /// are removed at once.
     pub(super) fn expire_leases(&mut self, context: &mut StepContext) {
         let now = context.clock.now;
+        // A new incarnation that has not answered has runs only if they are uncertain.
         let is_expired = |minion: &OwnedMinion| {
-            minion.are_leases_expired(now) && now.0 > minion.last_hold_at.0 && minion.is_fenced
+            let may_have_runs = minion.is_fenced || !minion.runs.is_empty();
+            minion.are_leases_expired(now) && now.0 > minion.last_hold_at.0 && may_have_runs
         };
         self.work.add(self.minions.len());
         let ids: Vec<MinionId> = self
@@ -115,7 +117,8 @@
                 self.save.is_roster_dirty = true;
             }
         }
-        let is_gone_unfenced = |minion: &OwnedMinion| !minion.is_listed && !minion.is_fenced;
+        let is_gone_unfenced =
+            |minion: &OwnedMinion| !minion.is_listed && !minion.is_fenced && minion.runs.is_empty();
         let count = self.minions.len();
         self.minions.retain(|_, minion| !is_gone_unfenced(minion));
         // Failures of these minions can no longer be confirmed.
--- a/crates/fleet/tests/rules/stalls.rs
+++ b/crates/fleet/tests/rules/stalls.rs
@@ -182,3 +182,27 @@
     simulation.checker.check_final_state(simulation.now);
     assert_eq!(simulation.checker.violations, Vec::new());
 }
+
+/// Guards against a task that waits for ever for a minion that restarts while a start is on
+/// its way and then never answers.
+#[rstest]
+#[case::and_stays_listed(true)]
+#[case::and_departs(false)]
+fn start_to_a_restarted_minion_that_never_answers_is_given_up(#[case] stays_listed: bool) {
+    let mut simulation = build_simulation(processor_and_memory(60_000, 64_000));
+    let silent: MinionId = "i-00".parse().expect("valid name");
+    simulation.faults.keeps_reports = stays_listed;
+    submit_chain(&mut simulation, 100, 0, &[processor_and_memory(1_000, 500)]);
+    while simulation.checker.start_count == 0 {
+        simulation.run_until(simulation.now + 1);
+        assert!(simulation.now < RUN_END_MS, "no run was started");
+    }
+    simulation.crash_minion(&silent);
+    simulation.restart_minion(&silent);
+    simulation.run_until(simulation.now + 700);
+    simulation.minions.get_mut(&silent).expect("known minion").is_partitioned = true;
+    simulation.add_minion(build_report(0, 1));
+    simulation.run_until(RUN_END_MS);
+    simulation.checker.check_final_state(simulation.now);
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
