Pools compute their turns from the record only

What callers saw: nothing; found by the review. Cause: a pool ranked itself by its present need and the others by the recorded one. A lower need is not always written, so two pools could each take itself for the first, and wait for each other. Evidence: by reading. The test of such a sequence, finished_job_does_not_make_pools_disagree_about_turns, passes on the old code too: it does not reach the state, and guards the outcome only. Change: all ranks come from the record.

--- a/crates/fleet/src/pool/rebalance.rs
+++ b/crates/fleet/src/pool/rebalance.rs
@@ -42,11 +42,9 @@
         let allocations = next.teams.entry(team.team.clone()).or_default();
         let used = needs.used.get(&team.team).copied().unwrap_or_default();
         let requested = needs.requested.get(&team.team).copied().unwrap_or(used);
-        let own = PoolAllocation {
-            allocated: allocations.get(pool).copied().unwrap_or_default().allocated,
-            requested,
-        };
-        let others = sum_others(allocations, pool, &own, team, &has_owner);
+        let recorded = allocations.get(pool).copied().unwrap_or_default();
+        let own = PoolAllocation { allocated: recorded.allocated, requested };
+        let others = sum_others(allocations, pool, &recorded, team, &has_owner);
         let allocated = next_allocation(&own, &used, &others, team);
         if allocated == Resources::default() && requested == Resources::default() {
             allocations.remove(pool);
@@ -68,14 +66,17 @@
     earlier_shortfall: Resources,
 }
 
+/// Sums what the other pools of a team have and lack. The order of turns follows the record,
+/// for this pool too: a pool that ranked itself by a newer need could disagree with the others
+/// about whose turn it is.
 fn sum_others(
     allocations: &BTreeMap<PoolId, PoolAllocation>,
     pool: &PoolId,
-    own: &PoolAllocation,
+    recorded: &PoolAllocation,
     team: &TeamConfig,
     has_owner: impl Fn(&PoolId) -> bool,
 ) -> OtherPools {
-    let own_rank = turn_rank(pool, own, team);
+    let own_rank = turn_rank(pool, recorded, team);
     let mut sums = OtherPools::default();
     for (other, allocation) in allocations.iter().filter(|(other, _)| *other != pool) {
         let shortfall = shortfall_of(allocation);
--- a/crates/fleet/tests/rules/stalls.rs
+++ b/crates/fleet/tests/rules/stalls.rs
@@ -147,6 +147,26 @@
     assert_eq!(simulation.checker.violations, Vec::new());
 }
 
+/// Guards against two pools that rank their turns by different data and wait for each other.
+#[test]
+fn finished_job_does_not_make_pools_disagree_about_turns() {
+    let mut simulation = build_simulation(processor_and_memory(6_000, 64_000));
+    let demands = [[3_000, 3_600], [3_000, 4_800]];
+    for (queue, by_job) in demands.into_iter().enumerate() {
+        for (number, processor) in by_job.into_iter().enumerate() {
+            let name = format!("{:016x}", 0x1000 + queue * 16 + number);
+            let spec = build_chain(&[processor_and_memory(processor, 500)]);
+            let team = "team-0".parse().expect("valid name");
+            let planned = PlannedJob { team, spec, queue, cancel_after: None };
+            let delay_ms = 100 + 50 * number as u64;
+            simulation.plan_job(delay_ms, name.parse().expect("valid name"), planned);
+        }
+    }
+    simulation.run_until(RUN_END_MS);
+    simulation.checker.check_final_state(simulation.now);
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
+
 /// Guards against a task that exceeds its team's limit and makes its pool claim all of the
 /// limit, so that no other task of the team runs.
 #[test]
