The call thread measures its own delay whatever its tick interval

What callers saw: hold-failed lines of an owner that is behind. Cause: the delay of the call thread was measured at its ticks; since ticks have a thread of their own, the call thread ticks once an hour, and a timeout was no longer extended by stalls that ended before it. Found by the review. Evidence: by reading; the tests of timeouts make their own timer, so no test covers the wiring. Change: the call thread samples its delay each 25 ms.

--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -21,6 +21,8 @@
 
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Interval at which the delay of the call thread is measured.
+const STALL_SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
 /// Maximum number of calls that wait for the call thread.
 const CALL_CHANNEL_CAPACITY: usize = 4_096;
 /// How often connections that were idle for long are closed.
@@ -140,6 +142,8 @@
     let meter = Arc::new(StallMeter::default());
     let mut ticks = tokio::time::interval(tick_interval);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut samples = tokio::time::interval(STALL_SAMPLE_INTERVAL);
+    samples.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut cleanups = tokio::time::interval(CLEANUP_INTERVAL);
     cleanups.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -154,10 +158,8 @@
             Some(on_complete) = rejections.recv() => {
                 on_complete(Err(CallError::NotSent("the call channel is full".into())));
             }
-            due = ticks.tick() => {
-                meter.record_delay(due.elapsed());
-                on_tick();
-            }
+            _ = ticks.tick() => on_tick(),
+            due = samples.tick() => meter.record_delay(due.elapsed()),
             _ = cleanups.tick() => pool.close_expired(),
         }
     }
