The checker's bound of a limit does not overflow without a limit

owner_work runs with a team without a limit; with overflow checks (dev profile) the sum of the limit and its tolerance overflowed. The bound is the same for all limits below the largest number.

--- a/crates/fleet/tests/rules/checker.rs
+++ b/crates/fleet/tests/rules/checker.rs
@@ -224,7 +224,8 @@
                 }
             }
         }
-        let bound = limit.processor.0 + limit.processor.0 / 10 + demand.processor.0;
+        let tolerance = limit.processor.0 / 10 + demand.processor.0;
+        let bound = limit.processor.0.saturating_add(tolerance);
         if used.processor.0 > bound {
             let description =
                 format!("{team} uses {} with {task}, limit {}", used.processor, limit.processor);
