Saves and lease renewals go before the starts of a placement pass

What callers saw: leases of runs renewed late by an owner in a queue's turn. Cause: one step sent hundreds of starts before the holds and the save that were due (by reading; found with the renewals that waited). Change: the order within a step. Also exports the work counter as pollenfall_placement_checks.

--- a/crates/daemon/src/runtime/host.rs
+++ b/crates/daemon/src/runtime/host.rs
@@ -153,6 +153,7 @@
         self.is_ready.store(core.is_ready(), Ordering::Relaxed);
         let step_duration = step_start.elapsed();
         self.metrics.record_step(kind, step_duration);
+        self.metrics.record_placement_checks(core.placement_checks());
         self.step_totals.add_step(step_duration);
     }
 
--- a/crates/daemon/src/runtime/metrics.rs
+++ b/crates/daemon/src/runtime/metrics.rs
@@ -58,6 +58,7 @@
     store_answer_bytes: HistogramFamily,
     step_seconds: HistogramFamily,
     tick_late_seconds: Histogram,
+    placement_checks: Counter,
     orders: Family<OutcomeLabels, Counter>,
     order_seconds: HistogramFamily,
     decisions: Family<KindLabel, Counter>,
@@ -76,6 +77,7 @@
             store_answer_bytes: Family::new_with_constructor(new_length_histogram),
             step_seconds: Family::new_with_constructor(new_step_histogram),
             tick_late_seconds: new_latency_histogram(),
+            placement_checks: Counter::default(),
             orders: Family::default(),
             order_seconds: new_latency_family(),
             decisions: Family::default(),
@@ -109,6 +111,11 @@
             "Delay of a clock tick beyond the tick interval",
             metrics.tick_late_seconds.clone(),
         );
+        registry.register(
+            "placement_checks",
+            "Jobs, minions and runs that this daemon has examined as the owner of pools",
+            metrics.placement_checks.clone(),
+        );
         registry.register("orders", "Orders to minions", metrics.orders.clone());
         registry.register(
             "order_seconds",
@@ -174,6 +181,12 @@
         self.step_seconds.get_or_create(&KindLabel { kind }).observe(duration.as_secs_f64());
     }
 
+    /// Records the total of [`fleet::FleetCore::placement_checks`].
+    pub fn record_placement_checks(&self, total: u64) {
+        let added = total.saturating_sub(self.placement_checks.get());
+        self.placement_checks.inc_by(added);
+    }
+
     /// Records by how much a clock tick was later than the tick interval.
     pub fn record_tick_delay(&self, delay: Duration) {
         self.tick_late_seconds.observe(delay.as_secs_f64());
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -294,7 +294,7 @@
         self.advance(context);
     }
 
-    /// Saves changes, places tasks and sends due holds. Runs after every event.
+    /// Saves changes, sends due holds and places tasks. Runs after every event.
     pub(crate) fn advance(&mut self, context: &mut StepContext) {
         self.advance_if_owned(context);
         context.out.count_checks(self.work.take());
@@ -313,11 +313,12 @@
             self.pass.request();
         }
         self.fail_exhausted_jobs(context);
+        // Lease renewals and saves do not wait behind the starts of a pass.
+        self.save_changes(context);
+        self.send_holds(context);
         if self.stage.is_loaded() && self.pass.is_due(context.clock.now) {
             self.run_pass(context);
         }
-        self.save_changes(context);
-        self.send_holds(context);
     }
 
     /// Checks all jobs again after a change of the configuration.
