--- /dev/null
+++ b/crates/fleet/tests/rules/fixtures.rs
@@ -0,0 +1,43 @@
+//! Configurations that several tests share.
+
+use std::collections::BTreeMap;
+
+use fleet::model::{FleetConfig, PoolConfig, QueueConfig, TeamConfig};
+use jobs::Resources;
+use state::{Millis, PoolId};
+
+/// Builds a configuration with pools `pool-0`, `pool-1` and so on, a queue for each of them, and
+/// the given teams.
+pub fn build_config(pool_count: usize, teams: Vec<TeamConfig>) -> FleetConfig {
+    let queues: Vec<QueueConfig> = (0..pool_count).map(build_queue).collect();
+    let pool_config = PoolConfig { enforces_capacity: true, is_spare: false };
+    let pools: BTreeMap<PoolId, PoolConfig> =
+        queues.iter().map(|queue| (queue.pool.clone(), pool_config.clone())).collect();
+    FleetConfig { version: 1, queues, pools, teams }
+}
+
+/// Builds the queue of a pool, with the same number as the pool.
+fn build_queue(number: usize) -> QueueConfig {
+    QueueConfig {
+        queue: format!("queue-{number}").parse().expect("valid name"),
+        host: "host.example".into(),
+        prefix: format!("/q{number}/").into(),
+        pool: format!("pool-{number}").parse().expect("valid name"),
+        priority: 0,
+        max_attempts: 3,
+        slack_factor: 1.6,
+        latency_objective: Millis(600),
+        is_open: false,
+        requires_ticket: false,
+    }
+}
+
+/// Builds a team with one key of the same number.
+pub fn build_team(number: usize, limit: Resources) -> TeamConfig {
+    TeamConfig {
+        team: format!("team-{number}").parse().expect("valid name"),
+        keys: vec![format!("key-{number}").into()],
+        share: 1.0,
+        limit,
+    }
+}
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -6,6 +6,7 @@
 
 mod checker;
 mod cloud;
+mod fixtures;
 mod minion;
 mod overload;
 mod owner_work;
--- a/crates/fleet/tests/rules/owner_work.rs
+++ b/crates/fleet/tests/rules/owner_work.rs
@@ -1,11 +1,10 @@
 //! Work of a pool's owner per event, counted in examined jobs, minions and runs.
 
-use std::collections::BTreeMap;
-
-use fleet::model::{FleetConfig, MinionReport, PoolConfig, QueueConfig, TeamConfig};
+use fleet::model::{FleetConfig, MinionReport};
 use jobs::{JobSpec, Resources, StepSpec};
 use state::{AcceleratorCount, JobId, Mebibytes, Millicores, Millis, TeamId};
 
+use crate::fixtures::{build_config, build_team};
 use crate::simulation::{PlannedJob, Simulation};
 
 /// Time at which the daemon owns the pool and every minion is in the roster.
@@ -45,33 +44,13 @@
     "team-0".parse().expect("valid name")
 }
 
-fn build_config(team_limit: Millicores) -> FleetConfig {
-    let pool: state::PoolId = "pool-0".parse().expect("valid name");
-    let queue = QueueConfig {
-        queue: "queue-0".parse().expect("valid name"),
-        host: "host.example".into(),
-        prefix: "/q0/".into(),
-        pool: pool.clone(),
-        priority: 0,
-        max_attempts: 3,
-        slack_factor: 1.6,
-        latency_objective: Millis(600),
-        is_open: false,
-        requires_ticket: false,
-    };
+fn build_owner_config(team_limit: Millicores) -> FleetConfig {
     let limit = Resources {
         processor: team_limit,
         memory: Mebibytes(u32::MAX),
         accelerators: AcceleratorCount(u32::MAX),
     };
-    let team = TeamConfig { team: team(), keys: vec!["key-0".into()], share: 1.0, limit };
-    let pool_config = PoolConfig { enforces_capacity: true, is_spare: false };
-    FleetConfig {
-        version: 1,
-        queues: vec![queue],
-        pools: BTreeMap::from([(pool, pool_config)]),
-        teams: vec![team],
-    }
+    build_config(1, vec![build_team(0, limit)])
 }
 
 fn build_report(number: usize) -> MinionReport {
@@ -103,7 +82,7 @@
 
 /// Runs a busy pool and reports the work of its owner while jobs wait.
 fn measure_work(pool: &BusyPool) -> WorkReport {
-    let mut simulation = Simulation::new(1, 1, build_config(pool.team_limit));
+    let mut simulation = Simulation::new(1, 1, build_owner_config(pool.team_limit));
     for number in 0..pool.minions {
         simulation.add_minion(build_report(number));
     }
--- a/crates/fleet/tests/rules/seeded_runs.rs
+++ b/crates/fleet/tests/rules/seeded_runs.rs
@@ -4,9 +4,7 @@
 //! The environment variable SEEDS sets the number of seeds of each case, SEED limits each case
 //! to that one seed, and TRACE prints the events of the run.
 
-use std::collections::BTreeMap;
-
-use fleet::model::{FleetConfig, MinionReport, PoolConfig, QueueConfig, TeamConfig, WavePhase};
+use fleet::model::{FleetConfig, MinionReport, PoolConfig, WavePhase};
 use jobs::{JobPhase, JobSpec, Resources, StepSpec};
 use rand::Rng;
 use rstest::rstest;
@@ -15,6 +13,7 @@
 };
 
 use crate::cloud::FakeVm;
+use crate::fixtures::{self, build_team};
 use crate::simulation::{PlannedJob, Simulation};
 
 pub const DAEMON_COUNT: usize = 3;
@@ -33,37 +32,16 @@
 const RUN_END_MS: u64 = 75_000;
 
 pub fn build_config() -> FleetConfig {
-    let mut pools = BTreeMap::new();
-    let mut queues = Vec::new();
-    for pool in 0..POOL_COUNT {
-        let name: state::PoolId = format!("pool-{pool}").parse().expect("valid name");
-        pools.insert(name.clone(), PoolConfig { enforces_capacity: true, is_spare: false });
-        queues.push(QueueConfig {
-            queue: format!("queue-{pool}").parse().expect("valid name"),
-            host: "host.example".into(),
-            prefix: format!("/q{pool}/").into(),
-            pool: name,
-            priority: 0,
-            max_attempts: 3,
-            slack_factor: 1.6,
-            latency_objective: Millis(600),
-            is_open: false,
-            requires_ticket: false,
-        });
-    }
-    let spare = PoolConfig { enforces_capacity: true, is_spare: true };
-    pools.insert("pool-spare".parse().expect("valid name"), spare);
-    let team = |number: usize| TeamConfig {
-        team: format!("team-{number}").parse().expect("valid name"),
-        keys: vec![format!("key-{number}").into()],
-        share: 1.0,
-        limit: Resources {
-            processor: Millicores(20_000),
-            memory: Mebibytes(u32::MAX),
-            accelerators: AcceleratorCount(u32::MAX),
-        },
+    let limit = Resources {
+        processor: Millicores(20_000),
+        memory: Mebibytes(u32::MAX),
+        accelerators: AcceleratorCount(u32::MAX),
     };
-    FleetConfig { version: 1, queues, pools, teams: vec![team(0), team(1)] }
+    let teams = (0..2).map(|number| build_team(number, limit)).collect();
+    let mut config = fixtures::build_config(POOL_COUNT, teams);
+    let spare = PoolConfig { enforces_capacity: true, is_spare: true };
+    config.pools.insert("pool-spare".parse().expect("valid name"), spare);
+    config
 }
 
 pub fn build_report(pool: usize, number: usize) -> MinionReport {
--- a/crates/fleet/tests/rules/stalls.rs
+++ b/crates/fleet/tests/rules/stalls.rs
@@ -1,13 +1,12 @@
 //! Scenarios of a small fleet after which an accepted job must not wait for ever.
 
-use std::collections::BTreeMap;
-
-use fleet::model::{FleetConfig, MinionReport, PoolConfig, QueueConfig, TeamConfig};
+use fleet::model::MinionReport;
 use fleet::{OwnKey, StoreKey};
 use jobs::{JobPhase, JobSpec, Resources, StepSpec};
 use rstest::rstest;
 use state::{AcceleratorCount, JobId, Mebibytes, Millicores, Millis, MinionId, Revision};
 
+use crate::fixtures::{build_config, build_team};
 use crate::simulation::{PlannedJob, Simulation};
 
 const DAEMON_COUNT: usize = 2;
@@ -25,35 +24,6 @@
     }
 }
 
-/// Builds a configuration with one queue for each pool, and one team with `limit`.
-fn build_config(limit: Resources) -> FleetConfig {
-    let mut pools = BTreeMap::new();
-    let mut queues = Vec::new();
-    for number in 0..POOL_COUNT {
-        let pool: state::PoolId = format!("pool-{number}").parse().expect("valid name");
-        pools.insert(pool.clone(), PoolConfig { enforces_capacity: true, is_spare: false });
-        queues.push(QueueConfig {
-            queue: format!("queue-{number}").parse().expect("valid name"),
-            host: "host.example".into(),
-            prefix: format!("/q{number}/").into(),
-            pool,
-            priority: 0,
-            max_attempts: 3,
-            slack_factor: 1.6,
-            latency_objective: Millis(600),
-            is_open: false,
-            requires_ticket: false,
-        });
-    }
-    let team = TeamConfig {
-        team: "team-0".parse().expect("valid name"),
-        keys: vec!["key-0".into()],
-        share: 1.0,
-        limit,
-    };
-    FleetConfig { version: 1, queues, pools, teams: vec![team] }
-}
-
 fn build_report(pool: usize, number: usize) -> MinionReport {
     MinionReport {
         minion: format!("i-{pool}{number}").parse().expect("valid name"),
@@ -83,7 +53,8 @@
 
 /// Builds a simulation with one minion in each pool, and runs it until all pools have owners.
 fn build_simulation(limit: Resources) -> Simulation {
-    let mut simulation = Simulation::new(1, DAEMON_COUNT, build_config(limit));
+    let mut simulation =
+        Simulation::new(1, DAEMON_COUNT, build_config(POOL_COUNT, vec![build_team(0, limit)]));
     for pool in 0..POOL_COUNT {
         simulation.add_minion(build_report(pool, 0));
     }
