--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -1,17 +1,15 @@
-//! Handles the answers of minions: refused starts, running tasks and finished runs.
+//! Handles the answers of minions to starts and holds.
 //!
-//! The answer to a hold lists the minion's running tasks and its finished runs. Finished
-//! runs with a number above the last processed one update the progress of their jobs. Runs
-//! that this owner did not start are adopted or stopped, and runs that the minion should
-//! list but does not are released, so that their tasks can start again.
+//! The answer to a hold lists the minion's finished runs (`finished`) and its running tasks
+//! (`listed`).
 
 use std::collections::BTreeSet;
 
-use jobs::{JobPhase, RunNumber, TaskMark, TaskName};
+use jobs::{JobPhase, RunNumber, TaskName};
 use state::{JobId, MinionId, Moment, Revision};
 
-use super::job::{LiveRun, position_of, task_name};
-use super::minion::{MinionRun, RunKey, RunPhase};
+use super::job::{position_of, task_name};
+use super::minion::{RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
 use crate::io::{EndKind, EndedRow, MinionAnswer, OrderRefusal, RunningRow};
 use crate::timing::{HOLD_RETRY_DELAY, REFUSAL_PAUSE, RUN_LEASE_DURATION};
@@ -170,182 +168,6 @@
         self.throttle_best_effort(context, id);
     }
 
-    /// Applies one finished run. Failures with a number up to `last_lapse_end` do not
-    /// count.
-    fn apply_finished_run(
-        &mut self,
-        context: &mut StepContext,
-        id: &MinionId,
-        row: EndedRow,
-        last_lapse_end: u64,
-    ) {
-        let Some(minion) = self.minions.get_mut(id) else { return };
-        if row.number <= minion.processed_end {
-            return;
-        }
-        minion.processed_end = row.number;
-        minion.unsaved_ends.push(row.number, row.task.job.clone());
-        self.save.has_new_ends = true;
-        let EndedRow { number, task, run, kind, checkpoint } = row;
-        context.out.log(
-            "end",
-            &task,
-            format!("run {run} on {id}, end {number}"),
-            format!("{kind:?}"),
-        );
-        self.release_run(id, &task, run);
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let position = position_of(&task);
-        if let Some(checkpoint) = checkpoint {
-            job.checkpoints.insert(position, checkpoint);
-        }
-        match kind {
-            EndKind::Done => self.complete_task(context, &task),
-            EndKind::Failed if number > last_lapse_end => self.record_failure(id, &task, number),
-            EndKind::Failed
-            | EndKind::Stopped
-            | EndKind::Lapsed
-            | EndKind::Broken
-            | EndKind::Alone => {}
-        }
-    }
-
-    /// Marks a task done, or all tasks of its gang, and opens the steps that wait for it.
-    fn complete_task(&mut self, context: &mut StepContext, task: &TaskName) {
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let (occurrence, step, index) = position_of(task);
-        let Some(spec) = job.spec.steps.get(usize::from(step)) else { return };
-        if spec.long_running || job.phase.is_final() {
-            return;
-        }
-        // A gang is done when one of its members is done.
-        let members = if spec.gang { 0..spec.tasks } else { index..index + 1 };
-        // The task may have another run, which was started after the first run's minion had
-        // been unresponsive for too long.
-        let other_run = job.live.get(&(occurrence, step, index)).cloned();
-        for member in members {
-            job.progress.set_mark(occurrence, step, member, TaskMark::Done);
-            job.remove_ready((occurrence, step, member));
-            job.checkpoints.remove(&(occurrence, step, member));
-        }
-        job.is_progress_dirty = true;
-        if let Some(live) = other_run {
-            self.stop_run(context, &live.minion, task, live.run);
-        }
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        if job.progress.is_complete(&job.spec) {
-            job.phase = JobPhase::Complete;
-            job.is_phase_dirty = true;
-            let job = task.job.clone();
-            self.stop_job(context, &job);
-        } else if job.progress.is_step_done(&job.spec, occurrence, step) {
-            job.open_steps(context.clock.wall_ms);
-        }
-    }
-
-    /// Updates a known run from the minion's list, or handles an unknown one.
-    fn apply_running_row(&mut self, context: &mut StepContext, id: &MinionId, row: RunningRow) {
-        let now = context.clock.now;
-        let Some(minion) = self.minions.get_mut(id) else { return };
-        if let Some(known) = minion.runs.get_mut(&(row.task.clone(), row.run)) {
-            if matches!(known.phase, RunPhase::Starting { .. }) {
-                known.phase = RunPhase::Running;
-                known.confirmed_at = now;
-            }
-            known.is_listed = true;
-            known.percent = row.percent;
-            known.reported_metric = row.reported_metric;
-            if let Some(checkpoint) = row.checkpoint {
-                self.jobs.set_checkpoint(&row.task, checkpoint);
-            }
-            return;
-        }
-        self.adopt_or_stop(context, id, row);
-    }
-
-    /// Handles a run that this owner did not start: adopts the run if its task has no other
-    /// run and is not done, else stops the run.
-    fn adopt_or_stop(&mut self, context: &mut StepContext, id: &MinionId, row: RunningRow) {
-        let position = position_of(&row.task);
-        let now = context.clock.now;
-        let job = self.jobs.get_mut(&row.task.job);
-        let reservation = job
-            .as_ref()
-            .and_then(|job| job.spec.steps.get(usize::from(position.1)))
-            .map(super::placement::reservation_for)
-            .unwrap_or_default();
-        let team = job.as_ref().and_then(|job| job.team.clone());
-        let is_long_running = job.as_ref().is_none_or(|job| job.spec.is_long_running());
-        let is_needed = job.as_ref().is_some_and(|job| {
-            !job.phase.is_final()
-                && !job.live.contains_key(&position)
-                && job.progress.mark(position.0, position.1, position.2) != TaskMark::Done
-        });
-        let inputs = format!("run {} on {id}", row.run);
-        let outcome = if is_needed { "adopted" } else { "stopped: its task needs no run" };
-        context.out.log("unknown-run", &row.task, inputs, outcome);
-        if let (true, Some(job)) = (is_needed, job) {
-            job.live.insert(position, LiveRun { minion: id.clone(), run: row.run });
-            job.remove_ready(position);
-            job.mark_active(now);
-        }
-        let Some(minion) = self.minions.get_mut(id) else { return };
-        let run = MinionRun {
-            phase: RunPhase::Running,
-            team,
-            reservation,
-            is_long_running,
-            is_listed: true,
-            percent: row.percent,
-            reported_metric: row.reported_metric,
-            processor_share: 100,
-            confirmed_at: now,
-        };
-        self.limits.record_use(run.team.as_ref(), &run.reservation);
-        minion.insert_run((row.task.clone(), row.run), run);
-        if !is_needed {
-            self.stop_run(context, id, &row.task, row.run);
-        }
-    }
-
-    /// Releases runs that the minion should list by now but does not. A start must be
-    /// listed once the minion's clock has passed its validity; a confirmed run must be
-    /// listed if it was confirmed before the hold was sent.
-    fn release_unlisted_runs(
-        &mut self,
-        context: &mut StepContext,
-        id: &MinionId,
-        sent_at: Moment,
-        clock_ms: u64,
-        listed: &BTreeSet<RunKey>,
-    ) {
-        let Some(minion) = self.minions.get(id) else { return };
-        let is_missing = |key: &RunKey, run: &MinionRun| {
-            let is_listed = listed.contains(key);
-            let should_be_listed = match run.phase {
-                RunPhase::Starting { until_clock } => clock_ms > until_clock,
-                RunPhase::Uncertain { .. } => false,
-                _ => run.confirmed_at < sent_at,
-            };
-            should_be_listed && !is_listed
-        };
-        let missing: Vec<RunKey> = minion
-            .runs
-            .iter()
-            .filter(|(key, run)| is_missing(key, run))
-            .map(|(key, _)| key.clone())
-            .collect();
-        for (task, run) in missing {
-            context.out.log(
-                "run",
-                &task,
-                format!("run {run} on {id}"),
-                "not listed by the minion; released",
-            );
-            self.release_run(id, &task, run);
-        }
-    }
-
     /// Removes a run and makes its task ready if that was the task's current run.
     pub(super) fn release_run(&mut self, id: &MinionId, task: &TaskName, run: RunNumber) {
         if let Some(minion) = self.minions.get_mut(id) {
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -4,8 +4,7 @@
 //! hold with its own fencing token to every minion of the roster and of the registry. The
 //! minion's answer fences all orders of earlier owners and lists the runs on that minion.
 //! Tasks that an earlier owner may have started are not started again until every minion of
-//! the roster has answered, has begun a new incarnation, or the leases of earlier owners
-//! have certainly expired.
+//! the roster has answered, or the leases of earlier owners have certainly expired.
 //!
 //! After loading, the owner reacts to events: a finished run or a new job requests a placement
 //! pass (`placement`), and the next pass starts as soon as its share of work allows (`pass`).
@@ -20,11 +19,13 @@
 mod demand;
 mod expiry;
 mod failures;
+mod finished;
 mod hold_queue;
 mod incarnation;
 mod job;
 mod job_table;
 mod limits;
+mod listed;
 mod load;
 mod maintenance;
 mod minion;
