Decisions log the age of the configuration that decided them

An on-call engineer could not tell a daemon that hears of no change from one that has read the change and applies it late: answer and start lines had the version only, and the loss of the store was logged after the watch's timeout without saying which answer was missed.

Answer and start lines now have the time since the store last confirmed the configuration; it is also a metric and stands in the readiness text. A new version is logged with the time for which its watch was open, the lost dependency with the time for which its answer was waited for. No decision changes.

--- a/crates/daemon/src/runtime/host.rs
+++ b/crates/daemon/src/runtime/host.rs
@@ -154,6 +154,7 @@
         let step_duration = step_start.elapsed();
         self.metrics.record_step(kind, step_duration);
         self.metrics.record_placement_checks(core.placement_checks());
+        self.metrics.record_record_age(core.record_age(clock.now));
         self.step_totals.add_step(step_duration);
     }
 
--- a/crates/daemon/src/runtime/metrics.rs
+++ b/crates/daemon/src/runtime/metrics.rs
@@ -4,6 +4,7 @@
 //! each with its latency, and also decisions and dropped log lines.
 
 use std::fmt::Write;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use fleet::io::{MinionAnswer, MinionCall, StoreAnswer, StoreCall};
@@ -12,6 +13,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use state::Millis;
@@ -59,6 +61,7 @@
     step_seconds: HistogramFamily,
     tick_late_seconds: Histogram,
     placement_checks: Counter,
+    record_age: Gauge<f64, AtomicU64>,
     orders: Family<OutcomeLabels, Counter>,
     order_seconds: HistogramFamily,
     decisions: Family<KindLabel, Counter>,
@@ -78,6 +81,7 @@
             step_seconds: Family::new_with_constructor(new_step_histogram),
             tick_late_seconds: new_latency_histogram(),
             placement_checks: Counter::default(),
+            record_age: Gauge::default(),
             orders: Family::default(),
             order_seconds: new_latency_family(),
             decisions: Family::default(),
@@ -116,6 +120,11 @@
             "Jobs, minions and runs that this daemon has examined as the owner of pools",
             metrics.placement_checks.clone(),
         );
+        registry.register(
+            "record_age_seconds",
+            "Time since the store last confirmed the configuration and the other shared records",
+            metrics.record_age.clone(),
+        );
         registry.register("orders", "Orders to minions", metrics.orders.clone());
         registry.register(
             "order_seconds",
@@ -187,6 +196,16 @@
         self.placement_checks.inc_by(added);
     }
 
+    /// Records [`fleet::FleetCore::record_age`] of the last step.
+    pub fn record_record_age(&self, age: Option<Millis>) {
+        self.record_age.set(age.map_or(f64::NAN, to_seconds));
+    }
+
+    /// Returns the age that [`Self::record_record_age`] recorded last, in seconds.
+    pub fn record_age_seconds(&self) -> f64 {
+        self.record_age.get()
+    }
+
     /// Records by how much a clock tick was later than the tick interval.
     pub fn record_tick_delay(&self, delay: Duration) {
         self.tick_late_seconds.observe(delay.as_secs_f64());
--- a/crates/daemon/src/runtime/probes.rs
+++ b/crates/daemon/src/runtime/probes.rs
@@ -18,12 +18,10 @@
 /// Returns the reason why an address cannot be bound or a thread cannot be started.
 pub fn start(settings: &PlatformSettings, host: &Arc<FleetHost>) -> Result<()> {
     start_server("readiness", settings.readiness_address, host, |host, request| {
-        let response = if host.is_ready() {
-            Response::from_string("ready")
-        } else {
-            Response::from_string("not ready").with_status_code(503)
-        };
-        write_response(request, response);
+        let age = host.metrics.record_age_seconds();
+        let (state, status) = if host.is_ready() { ("ready", 200) } else { ("not ready", 503) };
+        let text = format!("{state}, shared records confirmed {age:.1} s ago\n");
+        write_response(request, Response::from_string(text).with_status_code(status));
     })?;
     start_server("metrics", settings.metrics_address, host, |host, request| {
         if request.url() == "/metrics" {
--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use state::{Moment, PoolId, Revision};
+use state::{Millis, Moment, PoolId, Revision};
 
 use crate::event::{Clock, Effect, Event};
 use crate::intake::Intake;
@@ -72,6 +72,12 @@
         self.out.checks()
     }
 
+    /// Returns the time since the store last confirmed the shared records, which include the
+    /// configuration; `None` until they are loaded.
+    pub fn record_age(&self, now: Moment) -> Option<Millis> {
+        self.shared.age(now)
+    }
+
     /// Processes one event and returns the effects that the caller carries out.
     pub fn step(&mut self, clock: Clock, event: Event) -> Vec<Effect> {
         self.session.maintain_lease(clock, &mut self.out);
@@ -152,7 +158,7 @@
     ) {
         match purpose {
             CallPurpose::Shared(_) => {
-                let changes = self.shared.on_answer(clock, &mut self.out, answer);
+                let changes = self.shared.on_answer(clock, &mut self.out, sent_at, answer);
                 self.apply_shared_changes(clock, changes);
             }
             CallPurpose::Session(call) => {
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -86,7 +86,7 @@
         let reply_token = call.reply_token;
         let id: Box<str> = call.target.to_string().into();
         if let Some(answer) = self.begin_request(clock, out, shared, call) {
-            send_reply(out, reply_token, &id, shared, answer);
+            send_reply(clock, out, reply_token, &id, shared, answer);
         }
     }
 
@@ -260,7 +260,7 @@
         let Some(request) = self.requests.get_mut(&reply_token) else { return };
         match answer {
             StoreAnswer::Committed(_) => {
-                self.finish_request(out, shared, reply_token, ClientAnswer::Accepted);
+                self.finish_request(clock, out, shared, reply_token, ClientAnswer::Accepted);
             }
             StoreAnswer::Conflict(items) => {
                 let keys = [
@@ -269,7 +269,13 @@
                 ];
                 let exists = |item: &StoreItem| keys.contains(&item.key) && item.revision.0 > 0;
                 if items.iter().any(exists) {
-                    return self.finish_request(out, shared, reply_token, ClientAnswer::Accepted);
+                    return self.finish_request(
+                        clock,
+                        out,
+                        shared,
+                        reply_token,
+                        ClientAnswer::Accepted,
+                    );
                 }
                 // Another job of the same commit existed already, so the store applied
                 // nothing.
@@ -293,7 +299,7 @@
     ) {
         match answer {
             StoreAnswer::Committed(_) => {
-                self.finish_request(out, shared, reply_token, ClientAnswer::Cancelled)
+                self.finish_request(clock, out, shared, reply_token, ClientAnswer::Cancelled)
             }
             StoreAnswer::Conflict(items) => {
                 self.continue_with_outcome(clock, out, shared, reply_token, items)
@@ -312,7 +318,7 @@
     ) {
         match answer {
             StoreAnswer::Absent => {
-                self.finish_request(out, shared, reply_token, ClientAnswer::NoJob)
+                self.finish_request(clock, out, shared, reply_token, ClientAnswer::NoJob)
             }
             StoreAnswer::Items { items, .. } => {
                 self.continue_with_outcome(clock, out, shared, reply_token, items)
@@ -334,22 +340,22 @@
         let key = outcome_key(&request.pool, &request.job);
         let item = items.into_iter().find(|item| item.key == key && item.revision.0 > 0);
         let Some(StoreItem { value: ItemValue::Own(bytes), revision, created, .. }) = item else {
-            return self.finish_request(out, shared, reply_token, ClientAnswer::NoJob);
+            return self.finish_request(clock, out, shared, reply_token, ClientAnswer::NoJob);
         };
         let record: JobOutcome = match decode(&bytes) {
             Ok(record) => record,
             Err(reason) => {
                 out.log("record", format!("{key:?}"), reason, "skipped");
-                return self.finish_request(out, shared, reply_token, ClientAnswer::Unknown);
+                return self.finish_request(clock, out, shared, reply_token, ClientAnswer::Unknown);
             }
         };
         if matches!(request.action, RequestAction::Cancel) {
             let stored_outcome = Versioned { record, revision, created };
             if let Some(answer) = self.cancel(clock, out, reply_token, &stored_outcome) {
-                send_reply(out, reply_token, &format!("{key:?}"), shared, answer);
+                send_reply(clock, out, reply_token, &format!("{key:?}"), shared, answer);
             }
         } else {
-            self.finish_request(out, shared, reply_token, ClientAnswer::Phase(record.phase));
+            self.finish_request(clock, out, shared, reply_token, ClientAnswer::Phase(record.phase));
         }
     }
 
@@ -362,13 +368,14 @@
 
     fn finish_request(
         &mut self,
+        clock: Clock,
         out: &mut Outbox,
         shared: &SharedRecords,
         reply_token: ReplyToken,
         answer: ClientAnswer,
     ) {
         if let Some(request) = self.requests.remove(&reply_token) {
-            send_reply(out, reply_token, request.job.as_str(), shared, answer);
+            send_reply(clock, out, reply_token, request.job.as_str(), shared, answer);
         }
     }
 
@@ -390,7 +397,7 @@
                 ClientAnswer::NotDone { retry_after: RETRY_AFTER }
             };
             self.waiting_submissions.retain(|other| *other != reply_token);
-            self.finish_request(out, shared, reply_token, answer);
+            self.finish_request(clock, out, shared, reply_token, answer);
         }
         for (reply_token, request) in &mut self.requests {
             if request.retry_at.is_none_or(|at| clock.now < at) {
@@ -427,13 +434,13 @@
 }
 
 fn send_reply(
+    clock: Clock,
     out: &mut Outbox,
     reply_token: ReplyToken,
     id: &str,
     shared: &SharedRecords,
     answer: ClientAnswer,
 ) {
-    let version = shared.config.as_ref().map_or(0, |config| config.version);
-    out.log("answer", id, format!("configuration {version}"), format!("{answer:?}"));
+    out.log("answer", id, shared.describe_config(clock.now), format!("{answer:?}"));
     out.reply(reply_token, answer);
 }
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -279,12 +279,12 @@
         let until_clock = clock + START_VALIDITY.0;
         minion.extend_lease(until_clock, now);
         let inputs = format!(
-            "run {run}, needs {} {}, free {}, waited {}ms, configuration {}",
+            "run {run}, needs {} {}, free {}, waited {}ms, {}",
             reservation.processor,
             reservation.memory,
             minion.free_capacity().processor,
             context.clock.wall_ms.saturating_sub(job.accepted_ms),
-            context.shared.config.as_ref().map_or(0, |config| config.version),
+            context.shared.describe_config(now),
         );
         context.out.log("start", &task, inputs, id.to_string());
         let free_before = minion.free_capacity();
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use jobs::JobOutcome;
-use state::{DataCentreId, JobId, Moment, PoolId, Revision};
+use state::{DataCentreId, JobId, Millis, Moment, PoolId, Revision};
 
 use crate::event::Clock;
 use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
@@ -65,6 +65,8 @@
     listed_keys: BTreeSet<StoreKey>,
     next_call_at: Option<Moment>,
     is_call_in_flight: bool,
+    /// Time of the last answer that brought these records up to date, or showed that they were.
+    confirmed_at: Option<Moment>,
     /// Time of the first failed store call since the last successful one.
     store_unavailable_since: Option<Moment>,
 }
@@ -75,6 +77,22 @@
         self.is_loaded
     }
 
+    /// Returns the time since the store last confirmed these records; `None` until they are
+    /// loaded.
+    pub(crate) fn age(&self, now: Moment) -> Option<Millis> {
+        self.confirmed_at.map(|confirmed_at| now - confirmed_at)
+    }
+
+    /// Describes the configuration on which a decision at `now` depends, for the decision's log
+    /// line.
+    pub(crate) fn describe_config(&self, now: Moment) -> String {
+        let version = self.config.as_ref().map_or(0, |config| config.version);
+        match self.age(now) {
+            Some(age) => format!("configuration {version}, confirmed {age} ago"),
+            None => format!("configuration {version}, not confirmed"),
+        }
+    }
+
     pub(crate) fn on_tick(&mut self, clock: Clock, out: &mut Outbox) {
         let is_due = self.next_call_at.is_none_or(|at| clock.now >= at);
         if !self.is_call_in_flight && is_due {
@@ -108,6 +126,7 @@
         &mut self,
         clock: Clock,
         out: &mut Outbox,
+        sent_at: Moment,
         answer: StoreAnswer,
     ) -> SharedChanges {
         self.is_call_in_flight = false;
@@ -124,6 +143,7 @@
                 if !more {
                     self.remove_unlisted(&mut changes);
                     self.is_loaded = true;
+                    self.confirmed_at = Some(clock.now);
                 }
                 self.last_read_key = last_key.filter(|_| more);
                 self.send_next_call(clock, out);
@@ -131,6 +151,7 @@
             StoreAnswer::Events { events, at } => {
                 self.log_store_regained(clock, out);
                 self.watch_from = Some(at);
+                self.confirmed_at = Some(clock.now);
                 for event in events {
                     match event {
                         StoreEvent::Put(item) => self.apply_item(item, &mut changes, out),
@@ -152,11 +173,16 @@
             other => {
                 if self.store_unavailable_since.is_none() {
                     self.store_unavailable_since = Some(clock.now);
-                    out.log("dependency", "store", format!("{other:?}"), "lost");
+                    let inputs = format!("{other:?} after {}", clock.now - sent_at);
+                    out.log("dependency", "store", inputs, "lost");
                 }
                 self.next_call_at = Some(clock.now + READ_RETRY_DELAY);
             }
         }
+        if changes.has_new_config {
+            let inputs = format!("answered after {}", clock.now - sent_at);
+            out.log("shared-records", "configuration", inputs, "received");
+        }
         changes
     }
 
