Runs with a silent store and changing configurations; the checker has CONFIG

The simulated store can now fall silent: what is sent or waits meanwhile is never answered, leases pause. The connection of one daemon's watch can fall silent while the store is well. An operator of its own generator adds and removes queues and keys, probes ask daemons for them, and the rule CONFIG is checked for daemons that have been undisturbed for 3 s: no answer by a version older than one acknowledged 2 s before, no return to an older one.

Earlier cases and their seeds are unchanged: changes and probes draw from a generator of their own.

--- /dev/null
+++ b/crates/fleet/tests/rules/configuration.rs
@@ -0,0 +1,156 @@
+//! Runs in which the operator changes the configuration, evacuates a data centre or cancels jobs
+//! beside faults of the store and of the connections to it.
+
+use rstest::rstest;
+use state::Millicores;
+
+use crate::config_rule::ProbeTarget;
+use crate::seeded_runs::{
+    DAEMON_COUNT, InjectedFault, JobBatch, MINIONS_PER_POOL, assert_rules_held, build_config,
+    build_report, read_seeds, run_scenario_with, submit_batch,
+};
+use crate::simulation::Simulation;
+
+/// Time between two probes of a daemon, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 50;
+/// Duration of a silence of the store that ends just after a watch that was sent into it has timed
+/// out and been sent again.
+const SILENCE_MS: u64 = 6_300;
+/// Time from a change to the next watch of each daemon.
+const WATCH_RENEWAL_MS: u64 = 60;
+/// Virtual time at which random changes end; longer than the faults of a run.
+const CHANGES_END_MS: u64 = 45_000;
+
+fn build_simulation(seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(seed, DAEMON_COUNT, build_config());
+    for number in 0..MINIONS_PER_POOL {
+        simulation.add_minion(build_report(0, number));
+    }
+    simulation.run_until(6_000);
+    renew_watches(&mut simulation);
+    simulation
+}
+
+/// Writes a version without other changes, so that all daemons have just sent a watch.
+fn renew_watches(simulation: &mut Simulation) {
+    simulation.change_config(|_| {});
+    simulation.run_until(simulation.now + WATCH_RENEWAL_MS);
+}
+
+/// Adds a queue and removes another, and returns their targets.
+fn replace_queue(simulation: &mut Simulation) -> [ProbeTarget; 2] {
+    let build_target = |path: &str| ProbeTarget {
+        host: "host.example".into(),
+        path: path.into(),
+        key: Some("key-0".into()),
+    };
+    simulation.change_config(|config| {
+        let mut queue = config.queues.pop().expect("a queue");
+        queue.queue = "queue-new".parse().expect("valid name");
+        queue.prefix = "/new/".into();
+        config.queues.push(queue);
+    });
+    [build_target("/new/"), build_target("/q1/")]
+}
+
+fn silence_store(simulation: &mut Simulation, duration: u64) {
+    simulation.faults.is_store_silent = true;
+    simulation.run_until(simulation.now + duration);
+    simulation.faults.is_store_silent = false;
+}
+
+/// Probes every daemon for the targets, until the virtual time `until`.
+fn probe_until(simulation: &mut Simulation, targets: &[ProbeTarget], until: u64) {
+    while simulation.now < until {
+        for daemon in 0..DAEMON_COUNT {
+            targets.iter().for_each(|target| simulation.send_probe(daemon, target.clone()));
+        }
+        simulation.run_until(simulation.now + PROBE_INTERVAL_MS);
+    }
+}
+
+fn assert_probes_held(simulation: &Simulation) {
+    assert!(simulation.operator.checked_count > 100, "{}", simulation.operator.checked_count);
+    let violations = &simulation.checker.violations;
+    assert!(violations.is_empty(), "{} violations, {:?}", violations.len(), violations[0]);
+}
+
+/// Guards against daemons that decide by an old configuration after a silence of the store.
+#[test]
+fn version_acknowledged_after_a_silence_of_the_store_is_in_force_in_time() {
+    let mut simulation = build_simulation(1);
+    silence_store(&mut simulation, SILENCE_MS);
+    let targets = replace_queue(&mut simulation);
+    let until = simulation.now + 8_000;
+    probe_until(&mut simulation, &targets, until);
+    assert_probes_held(&simulation);
+}
+
+/// Guards against a daemon that hears of no change because one connection is silent while the
+/// store is well.
+#[test]
+fn version_is_in_force_although_the_connection_of_a_watch_is_silent() {
+    let mut simulation = build_simulation(1);
+    simulation.silence_watches_of(0);
+    simulation.run_until(simulation.now + 900);
+    let targets = replace_queue(&mut simulation);
+    let until = simulation.now + 8_000;
+    probe_until(&mut simulation, &targets, until);
+    assert_probes_held(&simulation);
+}
+
+/// Submits more work than the minions can do during the test.
+fn submit_backlog(simulation: &mut Simulation) {
+    let processor = Millicores(2_000);
+    let batch = JobBatch { jobs: 60, tasks: 8, processor, first_delay: 0, interval: 1 };
+    submit_batch(simulation, &batch);
+    simulation.run_until(simulation.now + 1_000);
+}
+
+/// Guards against starts in a data centre that was evacuated when the store came back.
+#[test]
+fn evacuated_data_centre_gets_no_start_after_a_silence_of_the_store() {
+    let mut simulation = build_simulation(1);
+    submit_backlog(&mut simulation);
+    silence_store(&mut simulation, SILENCE_MS);
+    simulation.begin_evacuation(&"dc-1".parse().expect("valid name"));
+    let starts_before = simulation.checker.start_count;
+    simulation.run_until(simulation.now + 9_000);
+    assert!(simulation.checker.start_count > starts_before);
+    assert_eq!(simulation.checker.violations.first(), None);
+}
+
+/// Guards against starts of jobs whose cancellation another daemon has acknowledged.
+#[test]
+fn cancelled_jobs_are_not_started_after_a_silence_of_the_store() {
+    let mut simulation = build_simulation(1);
+    submit_backlog(&mut simulation);
+    silence_store(&mut simulation, SILENCE_MS);
+    simulation.cancel_all_jobs();
+    simulation.run_until(simulation.now + 9_000);
+    assert_eq!(simulation.checker.violations.first(), None);
+}
+
+/// Guards against a rule that is broken while the operator changes the configuration under faults of
+/// one kind.
+#[rstest]
+#[case(InjectedFault::None)]
+#[case(InjectedFault::KilledDaemons)]
+#[case(InjectedFault::FrozenDaemons)]
+#[case(InjectedFault::StoreDown)]
+#[case(InjectedFault::StoreSilent)]
+#[case(InjectedFault::SilentWatches)]
+#[case(InjectedFault::StoreRefuses)]
+#[case(InjectedFault::StoreTurnsAway)]
+#[case(InjectedFault::LostWrites)]
+#[case(InjectedFault::Compactions)]
+#[case(InjectedFault::AllKilled)]
+#[case(InjectedFault::Mixed)]
+fn configuration_is_in_force_under_fault(#[case] fault: InjectedFault) {
+    for seed in read_seeds() {
+        let plan = |simulation: &mut Simulation| simulation.plan_config_changes(CHANGES_END_MS);
+        let simulation = run_scenario_with(seed, fault, plan);
+        assert_rules_held(&simulation, fault, seed);
+        assert!(simulation.operator.checked_count > 0, "{fault:?} seed {seed}: no probe counted");
+    }
+}
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -6,6 +6,8 @@
 
 mod checker;
 mod cloud;
+mod config_rule;
+mod configuration;
 mod fixtures;
 mod minion;
 mod overload;
--- a/crates/fleet/tests/rules/seeded_runs.rs
+++ b/crates/fleet/tests/rules/seeded_runs.rs
@@ -26,6 +26,8 @@
 const LONG_DOWNTIME_MS: u64 = 8_000;
 /// Minimum time until a minion restarts; longer than the delivery of an order takes.
 const RESTART_DELAY_MS: u64 = 700;
+/// Maximum duration of a silence of the store; longer than a watch waits for an answer.
+const MAX_SILENCE_MS: u64 = 9_000;
 /// Virtual time after which no fault begins and no planned job is submitted.
 const FAULTS_END_MS: u64 = 30_000;
 /// Virtual time at which a run ends, after a period without faults.
@@ -137,12 +139,16 @@
 
 /// Kind of fault that a run injects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum InjectedFault {
+pub enum InjectedFault {
     None,
     KilledDaemons,
     /// A daemon's process is suspended.
     FrozenDaemons,
     StoreDown,
+    /// The store answers nothing that is sent or waits meanwhile, also after its return.
+    StoreSilent,
+    /// The connection over which a daemon waits for changes goes silent.
+    SilentWatches,
     StoreRefuses,
     /// The store answers all daemons but one.
     StoreTurnsAway,
@@ -234,7 +240,8 @@
 /// Injects one fault at the virtual time `at`, for some seconds, and then removes it.
 fn inject_fault(simulation: &mut Simulation, fault: InjectedFault, at: u64) {
     simulation.run_until(at);
-    let fault_duration = simulation.rng.random_range(RESTART_DELAY_MS..6_000);
+    let max_duration = if fault == InjectedFault::StoreSilent { MAX_SILENCE_MS } else { 6_000 };
+    let fault_duration = simulation.rng.random_range(RESTART_DELAY_MS..max_duration);
     let daemon = simulation.rng.random_range(0..DAEMON_COUNT);
     let minions: Vec<MinionId> = simulation.minions.keys().cloned().collect();
     let minion = minions[simulation.rng.random_range(0..minions.len())].clone();
@@ -244,6 +251,8 @@
         InjectedFault::KilledDaemons => simulation.kill_daemon(daemon),
         InjectedFault::FrozenDaemons => simulation.suspend_daemon(daemon, fault_duration),
         InjectedFault::StoreDown => simulation.faults.is_store_down = true,
+        InjectedFault::StoreSilent => simulation.faults.is_store_silent = true,
+        InjectedFault::SilentWatches => simulation.silence_watches_of(daemon),
         InjectedFault::StoreRefuses => simulation.faults.store_refuses = true,
         InjectedFault::StoreTurnsAway => simulation.faults.disconnected_daemons = vec![daemon],
         InjectedFault::LostWrites => simulation.faults.lost_write_probability = 0.4,
@@ -319,7 +328,17 @@
 /// Executes a whole run: faults of one kind until [`FAULTS_END_MS`], then none until
 /// [`RUN_END_MS`], and the final check.
 fn run_scenario(seed: u64, fault: InjectedFault) -> Simulation {
+    run_scenario_with(seed, fault, |_| {})
+}
+
+/// Executes a whole run like [`run_scenario`], after `prepare`.
+pub fn run_scenario_with(
+    seed: u64,
+    fault: InjectedFault,
+    prepare: impl FnOnce(&mut Simulation),
+) -> Simulation {
     let mut simulation = build_simulation(seed);
+    prepare(&mut simulation);
     if matches!(fault, InjectedFault::Wave | InjectedFault::Mixed) {
         let vms: Vec<VmId> = simulation.cloud.vms.keys().step_by(2).cloned().collect();
         simulation.order_wave(1, vms, 2);
@@ -362,24 +381,34 @@
 #[case(InjectedFault::FailuresLost)]
 #[case(InjectedFault::DiesBetweenSaves)]
 #[case(InjectedFault::AllDownLong)]
+#[case(InjectedFault::StoreSilent)]
+#[case(InjectedFault::SilentWatches)]
 fn rules_hold_under_fault(#[case] fault: InjectedFault) {
+    for seed in read_seeds() {
+        assert_rules_held(&run_scenario(seed, fault), fault, seed);
+    }
+}
+
+/// Returns the seeds of each test case.
+pub fn read_seeds() -> std::ops::Range<u64> {
     let read_number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
-    let seeds = match read_number("SEED") {
+    match read_number("SEED") {
         Some(seed) => seed..seed + 1,
         None => 0..read_number("SEEDS").unwrap_or(SEEDS_PER_FAULT),
-    };
-    for seed in seeds {
-        let simulation = run_scenario(seed, fault);
-        let first_violation = simulation.checker.violations.first();
-        assert!(
-            first_violation.is_none(),
-            "{fault:?} seed {seed}: {} violations, the first: {first_violation:?}",
-            simulation.checker.violations.len()
-        );
-        assert!(simulation.checker.start_count > 0, "{fault:?} seed {seed}: no run was started");
     }
 }
 
+/// Asserts that a run broke no rule and started runs.
+pub fn assert_rules_held(simulation: &Simulation, fault: InjectedFault, seed: u64) {
+    let first_violation = simulation.checker.violations.first();
+    assert!(
+        first_violation.is_none(),
+        "{fault:?} seed {seed}: {} violations, the first: {first_violation:?}",
+        simulation.checker.violations.len()
+    );
+    assert!(simulation.checker.start_count > 0, "{fault:?} seed {seed}: no run was started");
+}
+
 /// Guards against jobs that stay unfinished or are refused although no fault is injected.
 #[rstest]
 fn run_without_faults_completes_all_jobs() {
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -6,6 +6,7 @@
 
 mod delivery;
 mod environment;
+mod operator;
 mod processor;
 mod submitters;
 
@@ -29,6 +30,7 @@
 use crate::cloud::{CloudEvent, FakeCloud, FakeVm};
 use crate::minion::{FakeMinion, MinionEvent};
 use crate::store::{MemoryStore, encoded_bytes};
+use operator::Operator;
 use processor::Processor;
 pub use processor::ProcessorCost;
 
@@ -48,6 +50,8 @@
 pub struct ActiveFaults {
     /// The store answers no daemon.
     pub is_store_down: bool,
+    /// The store answers no call that is sent or waits meanwhile, also later. Leases are paused.
+    pub is_store_silent: bool,
     /// The store refuses every call.
     pub store_refuses: bool,
     /// Daemons that get no answer from the store.
@@ -83,6 +87,9 @@
     pub link: Option<LinkRate>,
     /// Virtual time, in milliseconds, until which the link carries earlier answers.
     link_busy_until: u64,
+    /// Virtual time, in milliseconds, at which a fault last affected the daemon, its
+    /// connections or the store.
+    disturbed_at: u64,
 }
 
 /// Entry of the message queue.
@@ -122,6 +129,10 @@
     Cancel {
         job: JobId,
     },
+    /// The operator writes the next random version of the configuration.
+    ChangeConfig,
+    /// A submitter asks for the waiting jobs of a queue.
+    Probe,
     RequestTimedOut {
         reply_token: ReplyToken,
     },
@@ -191,6 +202,7 @@
     pub daemons: Vec<Daemon>,
     pub config: FleetConfig,
     pub checker: RuleChecker,
+    pub operator: Operator,
     pub faults: ActiveFaults,
     /// Processor time that events cost; `None` if steps take no time.
     pub processor_cost: Option<ProcessorCost>,
@@ -216,6 +228,8 @@
     watches: Vec<PendingWatch>,
     holds: Vec<PendingHold>,
     job_routes: BTreeMap<JobId, JobRoute>,
+    /// Virtual time to which store, cloud and minions have advanced.
+    advanced_until: u64,
     /// Virtual time at which the minions write their next reports.
     next_report_ms: u64,
     /// Report of the first minion, from which new minions copy their capacity and labels.
@@ -235,6 +249,7 @@
             daemons: Vec::new(),
             config: config.clone(),
             checker: RuleChecker::default(),
+            operator: Operator::new(seed, &config),
             faults: ActiveFaults::default(),
             processor_cost: None,
             orders_without_ownership: 0,
@@ -250,6 +265,7 @@
             watches: Vec::new(),
             holds: Vec::new(),
             job_routes: BTreeMap::new(),
+            advanced_until: 0,
             next_report_ms: 0,
             report_template: None,
             prints_trace: std::env::var_os("TRACE").is_some(),
@@ -264,6 +280,7 @@
                 capacity: DaemonCapacity::default(),
                 link: None,
                 link_busy_until: 0,
+                disturbed_at: 0,
             });
             simulation.start_daemon(daemon);
         }
@@ -284,6 +301,7 @@
         };
         daemon_state.core = Some(FleetCore::new(settings));
         daemon_state.suspended_until = 0;
+        daemon_state.disturbed_at = self.now;
         daemon_state.processor = Processor::default();
         let incarnation = daemon_state.incarnation;
         let jitter = self.rng.random_range(0..TICK_INTERVAL_MS);
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -122,6 +122,8 @@
             Message::Submit { job } => self.send_request(&job, RequestKind::Submit),
             Message::Poll { job } => self.send_request(&job, RequestKind::Poll),
             Message::Cancel { job } => self.send_request(&job, RequestKind::Cancel),
+            Message::ChangeConfig => self.write_random_config(),
+            Message::Probe => self.send_random_probe(),
             Message::RequestTimedOut { reply_token } => {
                 if let Some((job, kind, _)) = self.pending_requests.remove(&reply_token) {
                     self.retry_unanswered_request(&job, kind);
@@ -229,6 +231,14 @@
         request: StoreCall,
         is_lost: bool,
     ) {
+        if self.faults.is_store_silent {
+            if !is_lost {
+                let timeout = request.timeout(self.daemons[daemon].capacity.link).0;
+                let event = Event::Store(call, StoreAnswer::Unknown);
+                self.schedule_answer(daemon, incarnation, timeout, event);
+            }
+            return;
+        }
         if self.is_store_unreachable(daemon) {
             if !is_lost {
                 let event = Event::Store(call, StoreAnswer::Unknown);
--- a/crates/fleet/tests/rules/simulation/environment.rs
+++ b/crates/fleet/tests/rules/simulation/environment.rs
@@ -48,9 +48,14 @@
     /// Advances store, cloud and minions to the present time and answers watches and holds.
     pub(super) fn advance_environment(&mut self) {
         let now = self.now;
-        if !self.faults.is_store_down {
+        if self.faults.is_store_silent {
+            self.store.extend_leases(now - self.advanced_until);
+        } else if !self.faults.is_store_down {
             self.store.expire_leases(now);
         }
+        self.advanced_until = now;
+        self.record_disturbances();
+        self.write_pending_config();
         for vm in self.cloud.advance(now) {
             self.start_minion_on_vm(&vm);
         }
@@ -70,7 +75,7 @@
 
     /// Writes the changed reports of reachable minions, and removes the reports of the others.
     pub(super) fn write_reports(&mut self) {
-        if self.faults.is_store_down {
+        if self.faults.is_store_down || self.faults.is_store_silent {
             return;
         }
         for (id, fake) in &self.minions {
@@ -125,8 +130,29 @@
         }
     }
 
+    /// Loses the watches that match without closing their connections: each is unknown to its
+    /// daemon once its time is over.
+    fn lose_watches(&mut self, is_lost: impl Fn(&PendingWatch) -> bool) {
+        let (lost, waiting) = std::mem::take(&mut self.watches).into_iter().partition(is_lost);
+        self.watches = waiting;
+        for watch in lost {
+            let delay = (watch.until + STORE_TIMEOUT_MS).saturating_sub(self.now);
+            let event = Event::Store(watch.call, StoreAnswer::Unknown);
+            self.schedule_answer(watch.daemon, watch.incarnation, delay, event);
+        }
+    }
+
+    /// Silences the connections over which a daemon waits for changes, without closing them.
+    pub fn silence_watches_of(&mut self, daemon: usize) {
+        self.daemons[daemon].disturbed_at = self.now;
+        self.lose_watches(|watch| watch.daemon == daemon);
+    }
+
     /// Answers the watches that have events or whose wait is over.
     pub(super) fn answer_watches(&mut self) {
+        if self.faults.is_store_silent {
+            self.lose_watches(|_| true);
+        }
         if self.watches.is_empty() {
             return;
         }
--- a/crates/fleet/tests/rules/simulation/submitters.rs
+++ b/crates/fleet/tests/rules/simulation/submitters.rs
@@ -84,13 +84,23 @@
         self.schedule(delay, 0, 0, message);
     }
 
+    /// Cancels all planned jobs now.
+    pub fn cancel_all_jobs(&mut self) {
+        let jobs: Vec<JobId> = self.job_routes.keys().cloned().collect();
+        for job in jobs {
+            self.send_request(&job, RequestKind::Cancel);
+        }
+    }
+
     pub(super) fn retry_unanswered_request(&mut self, job: &JobId, kind: RequestKind) {
         self.schedule_request(job, kind, 200);
     }
 
     /// Applies a daemon's answer to the checker's view of the job, and schedules the next request.
     pub(super) fn handle_reply(&mut self, reply_token: ReplyToken, answer: ClientAnswer) {
-        let Some((job, kind, _)) = self.pending_requests.remove(&reply_token) else { return };
+        let Some((job, kind, _)) = self.pending_requests.remove(&reply_token) else {
+            return self.handle_probe_reply(reply_token, &answer);
+        };
         if self.prints_trace {
             println!("{} submitter of {job} {kind:?}: {answer:?}", self.now);
         }
--- a/crates/fleet/tests/rules/store.rs
+++ b/crates/fleet/tests/rules/store.rs
@@ -170,6 +170,13 @@
         }
     }
 
+    /// Extends all leases by `duration` milliseconds.
+    pub fn extend_leases(&mut self, duration: u64) {
+        for (until, _) in self.leases.values_mut() {
+            *until += duration;
+        }
+    }
+
     /// Ends a lease and removes the items that are bound to it.
     fn end_lease(&mut self, lease: LeaseId) {
         self.leases.remove(&lease);
