Watches are sent again once the store answers other calls

Cause: a watch that is sent before or into a silence gets no answer and no error, and was waited for until its own timeout of 6 s, while renewals of the lease were answered after 10 ms. A long poll that waits looks the same whether nothing changes or nobody listens.

The state machine now notes failed calls (writes aside: their answers may be lost alone). Once a call that was sent after a failure is answered, the watch of the shared records and those of owned pools are sent again if they were sent before that call; answers to the old ones are ignored. Loss and return of the store are logged from all calls, not from the watch alone.

--- /dev/null
+++ b/crates/fleet/src/contact.rs
@@ -0,0 +1,66 @@
+//! Detects that the store answers again after a time in which it did not.
+//!
+//! A watch that waits for changes looks the same whether nothing changes or nobody listens at the
+//! other end. Other calls have an answer of their own, so they show which it is: every watch that
+//! was sent before a call failed is sent again once a call that was sent after that failure is
+//! answered (`docs/PLATFORM.md`, "Hearing of changes").
+
+use state::Moment;
+
+use crate::event::Clock;
+use crate::io::StoreAnswer;
+use crate::outbox::{CallPurpose, Outbox};
+
+/// Whether the store answers this daemon.
+#[derive(Debug, Default)]
+pub(crate) struct StoreContact {
+    /// Time of the first failed call since the store last answered.
+    lost_since: Option<Moment>,
+    /// Time of the last failed call since the store last answered.
+    last_failure: Option<Moment>,
+}
+
+impl StoreContact {
+    /// Records the answer to a call that was sent at `sent_at`. Returns whether it shows that the
+    /// store answers again, so that watches that were sent before the call may be lost.
+    pub(crate) fn record_answer(
+        &mut self,
+        clock: Clock,
+        out: &mut Outbox,
+        purpose: &CallPurpose,
+        sent_at: Moment,
+        answer: &StoreAnswer,
+    ) -> bool {
+        if matches!(answer, StoreAnswer::Refused | StoreAnswer::Unknown) {
+            // The store may lose the answer to a write although it serves all other calls.
+            if !purpose.is_commit() {
+                self.record_failure(clock, out, purpose, sent_at, answer);
+            }
+            return false;
+        }
+        if self.last_failure.take_if(|failed_at| sent_at >= *failed_at).is_none() {
+            return false;
+        }
+        if let Some(since) = self.lost_since.take() {
+            let inputs = format!("unavailable for {}", clock.now - since);
+            out.log("dependency", "store", inputs, "regained");
+        }
+        true
+    }
+
+    fn record_failure(
+        &mut self,
+        clock: Clock,
+        out: &mut Outbox,
+        purpose: &CallPurpose,
+        sent_at: Moment,
+        answer: &StoreAnswer,
+    ) {
+        self.last_failure = Some(clock.now);
+        if self.lost_since.is_none() {
+            self.lost_since = Some(clock.now);
+            let inputs = format!("{purpose:?}: {answer:?} after {}", clock.now - sent_at);
+            out.log("dependency", "store", inputs, "lost");
+        }
+    }
+}
--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -8,6 +8,7 @@
 
 use state::{Millis, Moment, PoolId, Revision};
 
+use crate::contact::StoreContact;
 use crate::event::{Clock, Effect, Event};
 use crate::intake::Intake;
 use crate::key::ShardKey;
@@ -24,6 +25,7 @@
 #[derive(Debug)]
 pub struct FleetCore {
     settings: FleetSettings,
+    contact: StoreContact,
     shared: SharedRecords,
     session: Session,
     intake: Intake,
@@ -46,6 +48,7 @@
         let session = Session::new(&settings);
         Self {
             settings,
+            contact: StoreContact::default(),
             shared: SharedRecords::default(),
             session,
             intake: Intake::default(),
@@ -156,6 +159,8 @@
         sent_at: Moment,
         answer: crate::io::StoreAnswer,
     ) {
+        let out = &mut self.out;
+        let is_regained = self.contact.record_answer(clock, out, &purpose, sent_at, &answer);
         match purpose {
             CallPurpose::Shared(_) => {
                 let changes = self.shared.on_answer(clock, &mut self.out, sent_at, answer);
@@ -187,6 +192,16 @@
             }
         }
         self.drop_lost_shards();
+        if is_regained {
+            self.resend_watches(clock, sent_at);
+        }
+    }
+
+    /// Sends every watch again that was sent up to `latest`, so that no watch waits for an answer
+    /// that a silent store or connection has lost.
+    fn resend_watches(&mut self, clock: Clock, latest: Moment) {
+        self.shared.resend_watch(clock, &mut self.out, latest);
+        self.for_each_pool(clock, |owner, context| owner.resend_watch(context, latest));
     }
 
     fn apply_shared_changes(&mut self, clock: Clock, changes: SharedChanges) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Each component owns its state, and [`FleetCore`] only dispatches events to them:
 //!
+//! - `contact` detects that the store answers again after a silence;
 //! - `shared` follows, by one watch, the records that every daemon needs
 //!   (configuration, owners, outcomes, limits);
 //! - `session` maintains this daemon's lease and acquires shards that have no owner;
@@ -22,6 +23,7 @@
 //! revision of the record's creation is the fencing token of each order to a minion and
 //! of each write to the store.
 
+mod contact;
 mod core;
 mod event;
 mod intake;
--- a/crates/fleet/src/outbox.rs
+++ b/crates/fleet/src/outbox.rs
@@ -39,6 +39,21 @@
     Pool(PoolId, Revision, PoolCall),
 }
 
+impl CallPurpose {
+    /// Whether the call writes to the store under a condition.
+    pub(crate) fn is_commit(&self) -> bool {
+        match self {
+            Self::Session(call) => {
+                matches!(call, SessionCall::Acquire(..) | SessionCall::Release(_))
+            }
+            Self::Intake(call) => matches!(call, IntakeCall::Accept(_) | IntakeCall::Cancel(_)),
+            Self::VmController(..) => true,
+            Self::Pool(_, _, call) => !call.is_read(),
+            Self::Shared(_) | Self::Registry => false,
+        }
+    }
+}
+
 /// Effects of the current step, and open calls of all steps.
 #[derive(Debug, Default)]
 pub(crate) struct Outbox {
@@ -75,9 +90,23 @@
         call
     }
 
-    pub(crate) fn call_store(&mut self, clock: Clock, purpose: CallPurpose, request: StoreCall) {
+    pub(crate) fn call_store(
+        &mut self,
+        clock: Clock,
+        purpose: CallPurpose,
+        request: StoreCall,
+    ) -> CallId {
         let call = self.open_call(clock, purpose);
         self.effects.push(Effect::Store(call, request));
+        call
+    }
+
+    /// Gives up an open call if it was sent up to `latest`; its answer is not handled any more.
+    /// Returns whether the call was given up.
+    pub(crate) fn abandon_call(&mut self, call: CallId, latest: Moment) -> bool {
+        let is_sent_in_time =
+            self.open_calls.get(&call).is_some_and(|(_, sent_at)| *sent_at <= latest);
+        is_sent_in_time && self.open_calls.remove(&call).is_some()
     }
 
     pub(crate) fn call_minion(
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -10,6 +10,7 @@
 
 use super::job::OwnedJob;
 use super::{PoolCall, PoolOwner, StepContext};
+use crate::event::CallId;
 use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
 use crate::key::{KeyScope, OwnKey, ShardKey, StoreKey};
 use crate::records::{PoolRoster, ProgressRecord, RosterRow, decode};
@@ -30,6 +31,8 @@
     is_reading_jobs: bool,
     /// Last key of the pages that the current range read has received.
     last_read_key: Option<StoreKey>,
+    /// The watch for jobs that is in flight.
+    watch_call: Option<CallId>,
     /// Revision after which the watch for jobs continues.
     watch_from: Option<Revision>,
     /// Progress of jobs that are not registered yet.
@@ -78,7 +81,19 @@
                 StoreCall::Watch { scope: KeyScope::Jobs(pool), after, wait: MAX_WATCH_WAIT }
             }
         };
-        context.out.call_store(context.clock, self.purpose(call), request);
+        let is_watch = call == PoolCall::WatchJobs;
+        let call = context.out.call_store(context.clock, self.purpose(call), request);
+        self.stage.watch_call = is_watch.then_some(call);
+    }
+
+    /// Sends the watch for jobs again if it was sent up to `latest`.
+    pub(crate) fn resend_watch(&mut self, context: &mut StepContext, latest: Moment) {
+        let out = &mut context.out;
+        if self.stage.watch_call.take_if(|call| out.abandon_call(*call, latest)).is_some() {
+            let inputs = "the store answers other calls";
+            context.out.log("pool-records", &self.pool, inputs, "watch is sent again");
+            self.read(context, PoolCall::WatchJobs);
+        }
     }
 
     /// Reads the jobs once the shared records include the ownership record of this owner.
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -98,6 +98,13 @@
     Expire,
 }
 
+impl PoolCall {
+    /// Whether the call only reads from the store.
+    pub(crate) fn is_read(&self) -> bool {
+        matches!(self, Self::LoadRoster | Self::LoadJobs | Self::LoadProgress | Self::WatchJobs)
+    }
+}
+
 /// Inputs and outputs of one step besides the pool's own state.
 pub(crate) struct StepContext<'a> {
     pub(crate) clock: Clock,
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -12,7 +12,7 @@
 use jobs::JobOutcome;
 use state::{DataCentreId, JobId, Millis, Moment, PoolId, Revision};
 
-use crate::event::Clock;
+use crate::event::{CallId, Clock};
 use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
 use crate::key::{KeyScope, OwnKey, ShardKey, StoreKey};
 use crate::model::{FleetConfig, WaveOrder};
@@ -65,10 +65,10 @@
     listed_keys: BTreeSet<StoreKey>,
     next_call_at: Option<Moment>,
     is_call_in_flight: bool,
+    /// The watch that is in flight, if the call in flight is a watch.
+    watch_call: Option<CallId>,
     /// Time of the last answer that brought these records up to date, or showed that they were.
     confirmed_at: Option<Moment>,
-    /// Time of the first failed store call since the last successful one.
-    store_unavailable_since: Option<Moment>,
 }
 
 impl SharedRecords {
@@ -109,7 +109,8 @@
             Some(from) if self.is_loaded && after.is_none() => {
                 let request =
                     StoreCall::Watch { scope: KeyScope::Shared, after: from, wait: MAX_WATCH_WAIT };
-                out.call_store(clock, CallPurpose::Shared(SharedCall::Watch), request);
+                let purpose = CallPurpose::Shared(SharedCall::Watch);
+                self.watch_call = Some(out.call_store(clock, purpose, request));
             }
             _ => {
                 if after.is_none() {
@@ -122,6 +123,14 @@
         }
     }
 
+    /// Sends the watch in flight again if it was sent up to `latest`.
+    pub(crate) fn resend_watch(&mut self, clock: Clock, out: &mut Outbox, latest: Moment) {
+        if self.watch_call.take_if(|call| out.abandon_call(*call, latest)).is_some() {
+            out.log("shared-records", "watch", "the store answers other calls", "sent again");
+            self.send_next_call(clock, out);
+        }
+    }
+
     pub(crate) fn on_answer(
         &mut self,
         clock: Clock,
@@ -130,10 +139,10 @@
         answer: StoreAnswer,
     ) -> SharedChanges {
         self.is_call_in_flight = false;
+        self.watch_call = None;
         let mut changes = SharedChanges::default();
         match answer {
             StoreAnswer::Items { items, more, at } => {
-                self.log_store_regained(clock, out);
                 let last_key = items.last().map(|item| item.key.clone());
                 self.watch_from.get_or_insert(at);
                 for item in items {
@@ -149,7 +158,6 @@
                 self.send_next_call(clock, out);
             }
             StoreAnswer::Events { events, at } => {
-                self.log_store_regained(clock, out);
                 self.watch_from = Some(at);
                 self.confirmed_at = Some(clock.now);
                 for event in events {
@@ -170,14 +178,7 @@
                 self.watch_from = None;
                 self.send_next_call(clock, out);
             }
-            other => {
-                if self.store_unavailable_since.is_none() {
-                    self.store_unavailable_since = Some(clock.now);
-                    let inputs = format!("{other:?} after {}", clock.now - sent_at);
-                    out.log("dependency", "store", inputs, "lost");
-                }
-                self.next_call_at = Some(clock.now + READ_RETRY_DELAY);
-            }
+            _ => self.next_call_at = Some(clock.now + READ_RETRY_DELAY),
         }
         if changes.has_new_config {
             let inputs = format!("answered after {}", clock.now - sent_at);
@@ -186,13 +187,6 @@
         changes
     }
 
-    fn log_store_regained(&mut self, clock: Clock, out: &mut Outbox) {
-        if let Some(since) = self.store_unavailable_since.take() {
-            let inputs = format!("unavailable for {}", clock.now - since);
-            out.log("dependency", "store", inputs, "regained");
-        }
-    }
-
     fn apply_item(&mut self, item: StoreItem, changes: &mut SharedChanges, out: &mut Outbox) {
         let StoreItem { key, value, revision, created } = item;
         match (key, value) {
