A timed-out call closes the idle connections that may be silent with it

A watch, a read or an order that timed out on a connection that had gone silent was retried on the next idle connection to the same server, which was silent too: up to ten timeouts one after another, although a new connection is answered at once.

When a call times out, idle connections to its server that have brought no answer since the call was sent are closed. New test: five seconds without an answer before, answered on a new connection after.

--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -4,7 +4,8 @@
 //! through a [`CallSender`]. `attohttpc`, which `send_http` uses, opens a connection for
 //! each call. Minion orders and store calls are so frequent that connection handshakes
 //! would take most of their time (`docs/PLATFORM.md`, "Libraries"). An unresponsive
-//! connection is detected by the timeout of the call and by `TCP_USER_TIMEOUT`.
+//! connection is detected by the timeout of the call and by `TCP_USER_TIMEOUT`; the idle
+//! connections to the same server are then closed with it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Response};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::connections::{ConnectionPool, HttpConnection};
 use crate::timeout::{StallMeter, wait_with_timeout};
@@ -165,15 +167,19 @@
     }
 }
 
-/// Sends `call` and gives up after its timeout.
+/// Sends `call` and gives up after its timeout. The idle connections to the server that have
+/// brought no answer since the call was sent may have gone silent too, and are closed then.
 async fn call_with_timeout(
     pool: ConnectionPool,
     meter: Arc<StallMeter>,
     call: CallRequest,
 ) -> Result<CallResponse, CallError> {
-    let timeout = call.timeout;
+    let (address, timeout, sent_at) = (call.address, call.timeout, Instant::now());
     let result = wait_with_timeout(&meter, timeout, make_call(&pool, call)).await;
-    result.unwrap_or_else(|error| Err(CallError::NoResponse(error.to_string().into())))
+    result.unwrap_or_else(|error| {
+        pool.close_unused_since(address, sent_at);
+        Err(CallError::NoResponse(error.to_string().into()))
+    })
 }
 
 async fn make_call(pool: &ConnectionPool, call: CallRequest) -> Result<CallResponse, CallError> {
--- a/crates/transport/src/connections.rs
+++ b/crates/transport/src/connections.rs
@@ -90,6 +90,13 @@
         });
     }
 
+    /// Closes the idle connections to `address` whose last call was answered before `since`.
+    pub(crate) fn close_unused_since(&self, address: SocketAddr, since: Instant) {
+        if let Some(idle) = self.lock().idle.get_mut(&address) {
+            idle.retain(|connection| connection.idle_since >= since);
+        }
+    }
+
     /// Removes the idle connection to `address` that was used last and is still open.
     fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
         let mut state = self.lock();
--- a/crates/transport/tests/calls.rs
+++ b/crates/transport/tests/calls.rs
@@ -68,13 +68,21 @@
 }
 
 fn send_get(sender: &CallSender, address: SocketAddr) -> Receiver<Result<CallResponse, CallError>> {
+    send_get_with_timeout(sender, address, Duration::from_secs(60))
+}
+
+fn send_get_with_timeout(
+    sender: &CallSender,
+    address: SocketAddr,
+    timeout: Duration,
+) -> Receiver<Result<CallResponse, CallError>> {
     let request = CallRequest {
         address,
         method: CallMethod::Get,
         path: "/x?y=1".into(),
         headers: Vec::new(),
         body: None,
-        timeout: Duration::from_secs(60),
+        timeout,
     };
     let (complete, completed) = channel();
     sender.send(request, move |answer| {
@@ -101,6 +109,40 @@
     assert_eq!(server.connections.load(Ordering::SeqCst), BURST);
 }
 
+/// Guards against calls that fail one after another, each on an idle connection that has fallen
+/// silent, although a new connection would be answered.
+#[test]
+fn silent_idle_connections_are_not_used_after_a_timeout() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
+    let address = listener.local_addr().expect("read the local address");
+    let barrier = Arc::new(Barrier::new(BURST));
+    thread::spawn(move || {
+        let mut silent = Vec::new();
+        for (number, stream) in listener.incoming().flatten().enumerate() {
+            silent.push(stream.try_clone().expect("clone the socket"));
+            let barrier = Arc::clone(&barrier);
+            let is_first_burst = number < BURST;
+            thread::spawn(move || answer_once(&stream, is_first_burst.then_some(&*barrier)));
+        }
+    });
+    let sender = start_client();
+    make_burst(&sender, address);
+    let answer = send_get_with_timeout(&sender, address, Duration::from_millis(100)).recv();
+    assert!(matches!(answer, Ok(Err(CallError::NoResponse(_)))), "{answer:?}");
+    let answer = send_get_with_timeout(&sender, address, Duration::from_secs(5)).recv();
+    assert_eq!(answer, Ok(Ok(CallResponse { status: 200, body: "ok".into() })));
+}
+
+/// Answers the first request on a connection, and no later one.
+fn answer_once(mut stream: &TcpStream, barrier: Option<&Barrier>) {
+    let lines = BufReader::new(stream).lines();
+    let head = lines.map_while(Result::ok).take_while(|line| !line.is_empty());
+    if head.count() > 0 {
+        barrier.map(Barrier::wait);
+        let _ = stream.write_all(OK);
+    }
+}
+
 #[test]
 fn connection_that_the_server_closes_is_not_used_again() {
     let answer = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
