A watch waits no longer than a change may take to be in force

A daemon whose watch had gone silent alone, with a store that was well, gave 404 for added queues and served removed ones for up to six seconds (CONFIG), and as an owner started tasks of cancelled jobs (UNASKED): no other call failed, so nothing showed that the watch was lost.

The wait of a watch was a constant of 5 s. It follows from the platform's bound now: Bounds.ConfigApplyMs less the timeout of a call with a short answer, so that a lost watch fails, and is sent again, within the time in which a change has to be in force.

--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -46,10 +46,11 @@
     /// Creates the state machine of a daemon that has processed no event.
     pub fn new(settings: FleetSettings) -> Self {
         let session = Session::new(&settings);
+        let shared = SharedRecords::new(settings.watch_wait());
         Self {
             settings,
             contact: StoreContact::default(),
-            shared: SharedRecords::default(),
+            shared,
             session,
             intake: Intake::default(),
             registry: Registry::default(),
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::event::ClientTarget;
+use crate::timing::{MAX_WATCH_WAIT, MIN_WATCH_WAIT, STORE_TIMEOUT};
 
 /// Settings of a daemon, given at its start: its identity and the platform's bounds.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,6 +30,19 @@
     /// Duration for which orders for a VM must come from one owner of the VM
     /// controller.
     pub controller_lease: Millis,
+    /// Time within which a change of the configuration must be in force on every daemon.
+    pub config_apply: Millis,
+}
+
+impl FleetSettings {
+    /// Returns the maximum time that a watch waits for a change.
+    ///
+    /// A watch whose connection has gone silent fails after this time and the timeout of a call
+    /// with a short answer, which together must not be longer than a change may take.
+    pub(crate) fn watch_wait(&self) -> Millis {
+        let remaining = Millis(self.config_apply.0.saturating_sub(STORE_TIMEOUT.0));
+        remaining.clamp(MIN_WATCH_WAIT, MAX_WATCH_WAIT)
+    }
 }
 
 /// Bandwidth of a network link, in kbit/s.
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -16,7 +16,7 @@
 use crate::records::{PoolRoster, ProgressRecord, RosterRow, decode};
 use crate::shared::SharedRecords;
 use crate::timing::{
-    CLOCK_ERROR_PERMILLE, LOAD_STALL_TIMEOUT, MAX_WATCH_WAIT, READ_RETRY_DELAY, ROSTER_RETENTION,
+    CLOCK_ERROR_PERMILLE, LOAD_STALL_TIMEOUT, READ_RETRY_DELAY, ROSTER_RETENTION,
     RUN_LEASE_DURATION,
 };
 
@@ -78,7 +78,8 @@
             PoolCall::LoadJobs => StoreCall::Range { scope: KeyScope::Jobs(pool), after },
             _ => {
                 let after = self.stage.watch_from.unwrap_or_default();
-                StoreCall::Watch { scope: KeyScope::Jobs(pool), after, wait: MAX_WATCH_WAIT }
+                let wait = context.settings.watch_wait();
+                StoreCall::Watch { scope: KeyScope::Jobs(pool), after, wait }
             }
         };
         let is_watch = call == PoolCall::WatchJobs;
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -18,7 +18,7 @@
 use crate::model::{FleetConfig, WaveOrder};
 use crate::outbox::{CallPurpose, Outbox};
 use crate::records::{AllocationDoc, OwnerRecord, PoolDemand, WaveProgressDoc, decode};
-use crate::timing::{MAX_WATCH_WAIT, READ_RETRY_DELAY, SHARED_WATCH_INTERVAL};
+use crate::timing::{READ_RETRY_DELAY, SHARED_WATCH_INTERVAL};
 
 /// Store calls of [`SharedRecords`].
 #[derive(Debug, Clone, PartialEq)]
@@ -63,6 +63,8 @@
     last_read_key: Option<StoreKey>,
     /// Keys that the current full reading has listed so far.
     listed_keys: BTreeSet<StoreKey>,
+    /// Maximum time that the watch waits for a change.
+    watch_wait: Millis,
     next_call_at: Option<Moment>,
     is_call_in_flight: bool,
     /// The watch that is in flight, if the call in flight is a watch.
@@ -72,6 +74,10 @@
 }
 
 impl SharedRecords {
+    pub(crate) fn new(watch_wait: Millis) -> Self {
+        Self { watch_wait, ..Self::default() }
+    }
+
     /// Returns whether all shared records have been read at least once.
     pub(crate) fn is_loaded(&self) -> bool {
         self.is_loaded
@@ -107,8 +113,8 @@
         let after = self.last_read_key.clone();
         match self.watch_from {
             Some(from) if self.is_loaded && after.is_none() => {
-                let request =
-                    StoreCall::Watch { scope: KeyScope::Shared, after: from, wait: MAX_WATCH_WAIT };
+                let (scope, wait) = (KeyScope::Shared, self.watch_wait);
+                let request = StoreCall::Watch { scope, after: from, wait };
                 let purpose = CallPurpose::Shared(SharedCall::Watch);
                 self.watch_call = Some(out.call_store(clock, purpose, request));
             }
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -12,8 +12,9 @@
 pub(crate) const SESSION_SAFETY_MARGIN: Millis = Millis(400);
 /// Remaining validity of the lease at or below which a renewal is logged as late.
 pub(crate) const LATE_RENEWAL_MARGIN: Millis = Millis(1_000);
-/// Maximum duration that a watch call waits for a change; it bounds the time until an
-/// unresponsive connection is detected.
+/// Lower bound of the time that a watch waits for a change; each watch is a call to the store.
+pub(crate) const MIN_WATCH_WAIT: Millis = Millis(500);
+/// Upper bound of the time that a watch waits for a change.
 pub(crate) const MAX_WATCH_WAIT: Millis = Millis(5_000);
 /// Interval between an answer of the shared watch and the next call, so that several
 /// changes share one answer.
--- a/crates/fleet/tests/rules/reads.rs
+++ b/crates/fleet/tests/rules/reads.rs
@@ -6,6 +6,8 @@
 use jobs::{JobOutcome, JobPhase};
 use state::{Incarnation, Millis, Moment, Revision};
 
+use crate::config_rule::CONFIG_APPLY_MS;
+
 /// Interval between two ticks; longer than the delay before a failed read is retried.
 const TICK_INTERVAL: Millis = Millis(200);
 
@@ -26,6 +28,7 @@
             capacity: DaemonCapacity::default(),
             max_run_lease: Millis(10_000),
             controller_lease: Millis(3_000),
+            config_apply: Millis(CONFIG_APPLY_MS),
         };
         Self { core: FleetCore::new(settings), now: Moment(1_000), open_calls: Vec::new() }
     }
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -28,6 +28,7 @@
 
 use crate::checker::{RuleChecker, SubmittedJob, Violation};
 use crate::cloud::{CloudEvent, FakeCloud, FakeVm};
+use crate::config_rule::CONFIG_APPLY_MS;
 use crate::minion::{FakeMinion, MinionEvent};
 use crate::store::{MemoryStore, encoded_bytes};
 use operator::Operator;
@@ -298,6 +299,7 @@
             capacity: daemon_state.capacity,
             max_run_lease: Millis(10_000),
             controller_lease: Millis(3_000),
+            config_apply: Millis(CONFIG_APPLY_MS),
         };
         daemon_state.core = Some(FleetCore::new(settings));
         daemon_state.suspended_until = 0;
