The loss of the store is not logged for a call that was lost alone

After a silence of the store, calls that were sent into it still ran into their timeouts, and each of them was logged as another loss of the store and another return within milliseconds. A failed call is logged as a loss only if no call that was sent later has been answered. Watches are sent again after each such failure as before.

--- a/crates/fleet/src/contact.rs
+++ b/crates/fleet/src/contact.rs
@@ -18,6 +18,8 @@
     lost_since: Option<Moment>,
     /// Time of the last failed call since the store last answered.
     last_failure: Option<Moment>,
+    /// Time at which the latest of the answered calls was sent.
+    last_answered_call: Option<Moment>,
 }
 
 impl StoreContact {
@@ -38,6 +40,7 @@
             }
             return false;
         }
+        self.last_answered_call = self.last_answered_call.max(Some(sent_at));
         if self.last_failure.take_if(|failed_at| sent_at >= *failed_at).is_none() {
             return false;
         }
@@ -57,7 +60,9 @@
         answer: &StoreAnswer,
     ) {
         self.last_failure = Some(clock.now);
-        if self.lost_since.is_none() {
+        // A call that was sent before an answered one may have been lost alone.
+        let is_latest = self.last_answered_call.is_none_or(|answered| sent_at > answered);
+        if self.lost_since.is_none() && is_latest {
             self.lost_since = Some(clock.now);
             let inputs = format!("{purpose:?}: {answer:?} after {}", clock.now - sent_at);
             out.log("dependency", "store", inputs, "lost");
