No start and no refusal for good by records that may be old

The lease says that the store answers, not that the daemon has heard what changed.

Shared records count as current for the time in which a change has to be in force. By older ones no task is placed and no quota moves, and a request with an unknown queue or key is answered as not done, with a time to come back. A line tells when records become too old and when they are current again.

--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -46,7 +46,7 @@
     /// Creates the state machine of a daemon that has processed no event.
     pub fn new(settings: FleetSettings) -> Self {
         let session = Session::new(&settings);
-        let shared = SharedRecords::new(settings.watch_wait());
+        let shared = SharedRecords::new(&settings);
         Self {
             settings,
             contact: StoreContact::default(),
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -102,11 +102,11 @@
             return Some(ClientAnswer::NotDone { retry_after: RETRY_AFTER });
         };
         let Some((queue, job_name)) = config.target(&call.target) else {
-            return Some(ClientAnswer::NoQueue);
+            return Some(refuse_by_config(clock, shared, ClientAnswer::NoQueue));
         };
         let team = call.key.as_deref().and_then(|key| config.team_of_key(key));
         if !queue.is_open && team.is_none() {
-            return Some(ClientAnswer::BadKey);
+            return Some(refuse_by_config(clock, shared, ClientAnswer::BadKey));
         }
         if job_name.is_empty() {
             return Some(pending_answer(shared, &queue.queue));
@@ -433,6 +433,16 @@
     ClientAnswer::Pending(shared.outcomes.values().filter(is_queued).count() as u64)
 }
 
+/// Returns `refusal`, or the answer to ask again if the configuration may be an old one: a caller
+/// does not repeat a request whose queue or key is unknown.
+fn refuse_by_config(clock: Clock, shared: &SharedRecords, refusal: ClientAnswer) -> ClientAnswer {
+    if shared.is_current(clock.now) {
+        refusal
+    } else {
+        ClientAnswer::NotDone { retry_after: RETRY_AFTER }
+    }
+}
+
 fn send_reply(
     clock: Clock,
     out: &mut Outbox,
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -302,7 +302,8 @@
         self.advance(context);
     }
 
-    /// Saves changes, sends due holds and places tasks. Runs after every event.
+    /// Saves changes, sends due holds and, by current records only, places tasks. Runs after every
+    /// event.
     pub(crate) fn advance(&mut self, context: &mut StepContext) {
         self.advance_if_owned(context);
         context.out.count_checks(self.work.take());
@@ -324,7 +325,8 @@
         // Lease renewals and saves do not wait behind the starts of a pass.
         self.save_changes(context);
         self.send_holds(context);
-        if self.stage.is_loaded() && self.pass.is_due(context.clock.now) {
+        let now = context.clock.now;
+        if self.stage.is_loaded() && self.pass.is_due(now) && context.shared.is_current(now) {
             self.run_pass(context);
         }
     }
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -15,7 +15,7 @@
 use crate::event::{CallId, Clock};
 use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
 use crate::key::{KeyScope, OwnKey, ShardKey, StoreKey};
-use crate::model::{FleetConfig, WaveOrder};
+use crate::model::{FleetConfig, FleetSettings, WaveOrder};
 use crate::outbox::{CallPurpose, Outbox};
 use crate::records::{AllocationDoc, OwnerRecord, PoolDemand, WaveProgressDoc, decode};
 use crate::timing::{READ_RETRY_DELAY, SHARED_WATCH_INTERVAL};
@@ -65,6 +65,10 @@
     listed_keys: BTreeSet<StoreKey>,
     /// Maximum time that the watch waits for a change.
     watch_wait: Millis,
+    /// Age from which the records may miss a change that must be in force.
+    max_age: Millis,
+    /// Whether the records were current at the last tick.
+    was_current: bool,
     next_call_at: Option<Moment>,
     is_call_in_flight: bool,
     /// The watch that is in flight, if the call in flight is a watch.
@@ -74,8 +78,12 @@
 }
 
 impl SharedRecords {
-    pub(crate) fn new(watch_wait: Millis) -> Self {
-        Self { watch_wait, ..Self::default() }
+    pub(crate) fn new(settings: &FleetSettings) -> Self {
+        Self {
+            watch_wait: settings.watch_wait(),
+            max_age: settings.config_apply,
+            ..Self::default()
+        }
     }
 
     /// Returns whether all shared records have been read at least once.
@@ -89,6 +97,13 @@
         self.confirmed_at.map(|confirmed_at| now - confirmed_at)
     }
 
+    /// Whether the store has confirmed these records so recently that they have every change that
+    /// must be in force. No task is started, no VM is ordered and no caller is refused for good by
+    /// other records.
+    pub(crate) fn is_current(&self, now: Moment) -> bool {
+        self.age(now).is_some_and(|age| age <= self.max_age)
+    }
+
     /// Describes the configuration on which a decision at `now` depends, for the decision's log
     /// line.
     pub(crate) fn describe_config(&self, now: Moment) -> String {
@@ -100,12 +115,23 @@
     }
 
     pub(crate) fn on_tick(&mut self, clock: Clock, out: &mut Outbox) {
+        self.log_currency(clock, out);
         let is_due = self.next_call_at.is_none_or(|at| clock.now >= at);
         if !self.is_call_in_flight && is_due {
             self.send_next_call(clock, out);
         }
     }
 
+    /// Logs when the records become too old to decide by, and when they are current again.
+    fn log_currency(&mut self, clock: Clock, out: &mut Outbox) {
+        let is_current = self.is_current(clock.now);
+        if is_current != self.was_current {
+            self.was_current = is_current;
+            let outcome = if is_current { "current" } else { "too old to decide by" };
+            out.log("shared-records", "age", self.describe_config(clock.now), outcome);
+        }
+    }
+
     /// Sends the next watch, or the read of the next page if a full reading is not complete.
     fn send_next_call(&mut self, clock: Clock, out: &mut Outbox) {
         self.is_call_in_flight = true;
--- a/crates/fleet/tests/rules/configuration.rs
+++ b/crates/fleet/tests/rules/configuration.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 use state::Millicores;
 
-use crate::config_rule::ProbeTarget;
+use crate::config_rule::{CONFIG_APPLY_MS, ProbeTarget};
 use crate::seeded_runs::{
     DAEMON_COUNT, InjectedFault, JobBatch, MINIONS_PER_POOL, assert_rules_held, build_config,
     build_report, read_seeds, run_scenario_with, submit_batch,
@@ -131,6 +131,52 @@
     assert_eq!(simulation.checker.violations.first(), None);
 }
 
+/// Returns the ages, in milliseconds, that the decisions name between two texts.
+fn list_ages(simulation: &Simulation, decision: &str, before: &str, after: &str) -> Vec<u64> {
+    let lines = simulation.order_decisions.iter().filter(|line| line.decision == decision);
+    let age_of = |inputs: &str| {
+        let (_, age) = inputs.rsplit_once(before)?;
+        age.split_once(after)?.0.parse().ok()
+    };
+    lines.filter_map(|line| age_of(&line.inputs)).collect()
+}
+
+/// Guards against an owner that resumes by its lease and starts tasks by records that it read
+/// before the store fell silent.
+#[test]
+fn tasks_are_started_by_confirmed_records_only() {
+    let mut simulation = build_simulation(1);
+    submit_backlog(&mut simulation);
+    silence_store(&mut simulation, SILENCE_MS);
+    simulation.run_until(simulation.now + 9_000);
+    let ages = list_ages(&simulation, "start", "confirmed ", "ms ago");
+    assert!(ages.len() > 100, "{}", ages.len());
+    let oldest = ages.into_iter().max();
+    assert!(oldest <= Some(CONFIG_APPLY_MS), "a start by records that are {oldest:?} ms old");
+}
+
+/// Guards against a queue or key that a caller is told to be unknown for good by a daemon that
+/// cannot know.
+#[test]
+fn unknown_queue_is_refused_for_good_by_confirmed_records_only() {
+    let mut simulation = build_simulation(1);
+    let targets = replace_queue(&mut simulation);
+    simulation.run_until(simulation.now + 1_000);
+    let mut answers = Vec::new();
+    for silence in [1_000, 2_500, 6_000] {
+        silence_store(&mut simulation, silence);
+        simulation.faults.is_store_silent = true;
+        let unknown_key = ProbeTarget { key: Some("key-x".into()), ..targets[0].clone() };
+        simulation.send_probe(0, targets[1].clone());
+        simulation.send_probe(0, unknown_key);
+        simulation.run_until(simulation.now + 5);
+        simulation.faults.is_store_silent = false;
+        answers.extend(simulation.operator.answers.drain(..).map(|(_, answer)| answer));
+        simulation.run_until(simulation.now + 4_000);
+    }
+    insta::assert_debug_snapshot!(answers);
+}
+
 /// Guards against a rule that is broken while the operator changes the configuration under faults of
 /// one kind.
 #[rstest]
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -218,6 +218,8 @@
     pub event_count: u64,
     /// Decisions about pools, each with its virtual time and its daemon.
     pub pool_decisions: Vec<(u64, usize, DecisionLine)>,
+    /// Decisions to start a task or to move a VM.
+    pub order_decisions: Vec<DecisionLine>,
     /// Scope and start of each range that the store has answered with a page.
     pub read_pages: Vec<(KeyScope, Option<StoreKey>)>,
     /// Messages with the daemon and its incarnation, by delivery time and sequence number.
@@ -258,6 +260,7 @@
             refused_count: 0,
             event_count: 0,
             pool_decisions: Vec::new(),
+            order_decisions: Vec::new(),
             read_pages: Vec::new(),
             messages: BTreeMap::new(),
             last_sequence: 0,
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -215,8 +215,12 @@
                 if self.prints_trace {
                     println!("{} edge-{daemon} {line:?}", self.now);
                 }
-                if line.decision == "pool" {
-                    self.pool_decisions.push((self.now, daemon, line));
+                match line.decision {
+                    "pool" => self.pool_decisions.push((self.now, daemon, line)),
+                    "start" => self.order_decisions.push(line),
+                    // Other lines of a move have its answer.
+                    "move-vm" if line.outcome.starts_with("to ") => self.order_decisions.push(line),
+                    _ => {}
                 }
             }
             Effect::Stopped => self.kill_daemon(daemon),
--- a/crates/fleet/tests/rules/simulation/operator.rs
+++ b/crates/fleet/tests/rules/simulation/operator.rs
@@ -32,6 +32,8 @@
     /// Targets of random probes: all that a version has had.
     targets: Vec<ProbeTarget>,
     probes: BTreeMap<ReplyToken, Probe>,
+    /// Answers to all probes, each with its virtual time.
+    pub answers: Vec<(u64, ClientAnswer)>,
     /// Number of probes that were checked against the rule.
     pub checked_count: u64,
     /// Virtual time, in milliseconds, from which no random change or probe is sent.
@@ -48,6 +50,7 @@
             pending: Vec::new(),
             targets: Vec::new(),
             probes: BTreeMap::new(),
+            answers: Vec::new(),
             checked_count: 0,
             until: 0,
         }
@@ -167,6 +170,7 @@
     pub(super) fn handle_probe_reply(&mut self, reply_token: ReplyToken, answer: &ClientAnswer) {
         let Some(probe) = self.operator.probes.remove(&reply_token) else { return };
         let Probe { daemon, incarnation, sent_at, target } = probe;
+        self.operator.answers.push((self.now, answer.clone()));
         if self.daemons[daemon].disturbed_at + CONTACT_MS >= sent_at {
             return;
         }
