VMs are ordered by a current list and current requests only

Orders need a list of the last 4 s (the interval of readings while nothing is to be ordered, and the time for an answer) and current shared records. The line of an order names the age of the list.

--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -77,6 +77,9 @@
 pub(crate) const VM_LIST_INTERVAL: Millis = Millis(300);
 /// Interval between two readings of the VM list while there is nothing to order.
 pub(crate) const VM_LIST_IDLE_INTERVAL: Millis = Millis(3_000);
+/// Age of the VM list up to which orders are based on it: the interval between two readings, and
+/// the time for an answer.
+pub(crate) const MAX_VM_LIST_AGE: Millis = Millis(4_000);
 /// Duration after which the VM list certainly shows a moved VM.
 pub(crate) const MOVE_VISIBILITY_DELAY: Millis = Millis(4_000);
 /// Duration for which an offered VM waits for a request from another pool.
--- a/crates/fleet/src/vm_controller.rs
+++ b/crates/fleet/src/vm_controller.rs
@@ -21,8 +21,8 @@
 use crate::pool::StepContext;
 use crate::records::{VmMaintenance, WaveProgressDoc, encode};
 use crate::timing::{
-    COMMIT_RETRY_DELAY, MOVE_VISIBILITY_DELAY, OFFERED_VM_RETENTION, VM_LIST_IDLE_INTERVAL,
-    VM_LIST_INTERVAL,
+    COMMIT_RETRY_DELAY, MAX_VM_LIST_AGE, MOVE_VISIBILITY_DELAY, OFFERED_VM_RETENTION,
+    VM_LIST_IDLE_INTERVAL, VM_LIST_INTERVAL,
 };
 
 /// Store and cloud calls of [`VmController`].
@@ -99,8 +99,7 @@
             || !self.recent_moves.is_empty()
             || self.has_demands(context);
         self.list_vms(context, is_busy);
-        let may_order = context.clock.now - self.owned_since >= context.settings.controller_lease;
-        if self.listed_at.is_none() || !may_order || context.clock.now < self.next_order_at {
+        if !self.may_order(context) {
             return;
         }
         for order in &incomplete_waves {
@@ -109,6 +108,18 @@
         self.move_vms(context, &incomplete_waves);
     }
 
+    /// Whether orders may be given: no order of the previous owner can arrive any more, and what
+    /// the orders depend on is current.
+    fn may_order(&self, context: &StepContext) -> bool {
+        let now = context.clock.now;
+        let is_list_current =
+            self.listed_at.is_some_and(|listed_at| now - listed_at <= MAX_VM_LIST_AGE);
+        now - self.owned_since >= context.settings.controller_lease
+            && now >= self.next_order_at
+            && is_list_current
+            && context.shared.is_current(now)
+    }
+
     fn has_demands(&self, context: &StepContext) -> bool {
         let demands = context.shared.demands.values();
         demands
@@ -175,7 +186,7 @@
                 && !self.maintenance_answered_at.contains_key(&(order.wave, vm.clone()));
             if is_order_due {
                 let wave = order.wave;
-                let inputs = format!("wave {wave}, fencing token {}", self.fencing_token);
+                let inputs = format!("wave {wave}, {}", self.describe_basis(context));
                 context.out.log("upkeep", vm, inputs, "ordered");
                 let call = CloudCall::Maintenance {
                     vm: vm.clone(),
@@ -331,7 +342,7 @@
 
     fn move_vm(&mut self, context: &mut StepContext, vm: &VmId, from: &PoolId, pool: PoolId) {
         self.unrequested_since.remove(vm);
-        let inputs = format!("from pool {from}, fencing token {}", self.fencing_token);
+        let inputs = format!("from pool {from}, {}", self.describe_basis(context));
         context.out.log("move-vm", vm, inputs, format!("to {pool}"));
         self.recent_moves.insert(vm.clone(), (pool.clone(), context.clock.now));
         let call = CloudCall::Move {
@@ -419,10 +430,15 @@
         vm: &VmId,
         answer: &CloudAnswer,
     ) {
-        let age = context.clock.now - self.listed_at.unwrap_or_default();
-        let inputs = format!("fencing token {}, VM list read {} ago", self.fencing_token, age);
+        let inputs = self.describe_basis(context);
         context.out.log(decision, vm, inputs, format!("{answer:?}"));
     }
+
+    /// Describes what an order is based on, for the order's log line.
+    fn describe_basis(&self, context: &StepContext) -> String {
+        let age = context.clock.now - self.listed_at.unwrap_or_default();
+        format!("fencing token {}, VM list read {age} ago", self.fencing_token)
+    }
 }
 
 fn is_spare_pool(context: &StepContext, pool: &PoolId) -> bool {
--- a/crates/fleet/tests/rules/configuration.rs
+++ b/crates/fleet/tests/rules/configuration.rs
@@ -4,6 +4,7 @@
 use rstest::rstest;
 use state::Millicores;
 
+use crate::cloud::FakeVm;
 use crate::config_rule::{CONFIG_APPLY_MS, ProbeTarget};
 use crate::seeded_runs::{
     DAEMON_COUNT, InjectedFault, JobBatch, MINIONS_PER_POOL, assert_rules_held, build_config,
@@ -18,6 +19,11 @@
 const SILENCE_MS: u64 = 6_300;
 /// Time from a change to the next watch of each daemon.
 const WATCH_RENEWAL_MS: u64 = 60;
+/// Number of VMs in the spare pool.
+const SPARE_VMS: usize = 3;
+/// Maximum age of the VM list by which a VM is moved: the interval between two readings while
+/// nothing is to be ordered, and the time for an answer.
+const MAX_LIST_AGE_MS: u64 = 4_000;
 /// Virtual time at which random changes end; longer than the faults of a run.
 const CHANGES_END_MS: u64 = 45_000;
 
@@ -177,6 +183,27 @@
     insta::assert_debug_snapshot!(answers);
 }
 
+/// Guards against a VM that is moved by a list that was read before the store fell silent.
+#[test]
+fn vms_are_moved_by_a_current_list_only() {
+    let mut simulation = build_simulation(1);
+    for number in 0..SPARE_VMS {
+        let vm = format!("vm-spare{number}").parse().expect("valid name");
+        let spare = FakeVm::new("pool-spare".parse().expect("valid name"), None);
+        simulation.cloud.vms.insert(vm, spare);
+    }
+    simulation.run_until(simulation.now + MAX_LIST_AGE_MS);
+    simulation.faults.is_cloud_down = true;
+    submit_backlog(&mut simulation);
+    silence_store(&mut simulation, SILENCE_MS);
+    simulation.faults.is_cloud_down = false;
+    simulation.run_until(simulation.now + 9_000);
+    let ages = list_ages(&simulation, "move-vm", "VM list read ", "ms ago");
+    assert!(ages.len() > SPARE_VMS, "{}", ages.len());
+    let oldest = ages.into_iter().max();
+    assert!(oldest <= Some(MAX_LIST_AGE_MS), "a move by a list that is {oldest:?} ms old");
+}
+
 /// Guards against a rule that is broken while the operator changes the configuration under faults of
 /// one kind.
 #[rstest]
