After a loss of the store, starts wait for the minions' reports to be read again

An owner on a small link started tasks on minions that had begun to drain when the store came back (DRAIN): its reading of the reports had been sent into the silence, and a range is waited for as long as a full page takes on the link, 3.3 s at 10 Mbit/s, while the lease was renewed and the configuration heard. Same class as the watch: an answer that is waited for although the call is lost.

A range is not sent again, since its page may be under way on a full link; the owner starts no task until a reading that was requested after the store's return is complete.

--- a/crates/fleet/src/contact.rs
+++ b/crates/fleet/src/contact.rs
@@ -11,6 +11,17 @@
 use crate::io::StoreAnswer;
 use crate::outbox::{CallPurpose, Outbox};
 
+/// What the answer to a call shows of earlier calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ContactChange {
+    /// Nothing.
+    None,
+    /// Watches that were sent before the call may be lost.
+    CallsLost,
+    /// The store answers again after a time in which it answered no call.
+    Regained,
+}
+
 /// Whether the store answers this daemon.
 #[derive(Debug, Default)]
 pub(crate) struct StoreContact {
@@ -23,8 +34,7 @@
 }
 
 impl StoreContact {
-    /// Records the answer to a call that was sent at `sent_at`. Returns whether it shows that the
-    /// store answers again, so that watches that were sent before the call may be lost.
+    /// Records the answer to a call that was sent at `sent_at`.
     pub(crate) fn record_answer(
         &mut self,
         clock: Clock,
@@ -32,23 +42,22 @@
         purpose: &CallPurpose,
         sent_at: Moment,
         answer: &StoreAnswer,
-    ) -> bool {
+    ) -> ContactChange {
         if matches!(answer, StoreAnswer::Refused | StoreAnswer::Unknown) {
             // The store may lose the answer to a write although it serves all other calls.
             if !purpose.is_commit() {
                 self.record_failure(clock, out, purpose, sent_at, answer);
             }
-            return false;
+            return ContactChange::None;
         }
         self.last_answered_call = self.last_answered_call.max(Some(sent_at));
         if self.last_failure.take_if(|failed_at| sent_at >= *failed_at).is_none() {
-            return false;
-        }
-        if let Some(since) = self.lost_since.take() {
-            let inputs = format!("unavailable for {}", clock.now - since);
-            out.log("dependency", "store", inputs, "regained");
+            return ContactChange::None;
         }
-        true
+        let Some(since) = self.lost_since.take() else { return ContactChange::CallsLost };
+        let inputs = format!("unavailable for {}", clock.now - since);
+        out.log("dependency", "store", inputs, "regained");
+        ContactChange::Regained
     }
 
     fn record_failure(
--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -8,7 +8,7 @@
 
 use state::{Millis, Moment, PoolId, Revision};
 
-use crate::contact::StoreContact;
+use crate::contact::{ContactChange, StoreContact};
 use crate::event::{Clock, Effect, Event};
 use crate::intake::Intake;
 use crate::key::ShardKey;
@@ -161,7 +161,10 @@
         answer: crate::io::StoreAnswer,
     ) {
         let out = &mut self.out;
-        let is_regained = self.contact.record_answer(clock, out, &purpose, sent_at, &answer);
+        let contact_change = self.contact.record_answer(clock, out, &purpose, sent_at, &answer);
+        if contact_change == ContactChange::Regained {
+            self.registry.require_reading(clock.now);
+        }
         match purpose {
             CallPurpose::Shared(_) => {
                 let changes = self.shared.on_answer(clock, &mut self.out, sent_at, answer);
@@ -193,7 +196,7 @@
             }
         }
         self.drop_lost_shards();
-        if is_regained {
+        if contact_change != ContactChange::None {
             self.resend_watches(clock, sent_at);
         }
     }
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -145,6 +145,14 @@
     pub(crate) is_lost: bool,
 }
 
+impl StepContext<'_> {
+    /// Whether what is known of the configuration, of cancellations and of the minions' reports is
+    /// recent enough to start tasks by it.
+    fn is_current(&self) -> bool {
+        self.shared.is_current(self.clock.now) && self.registry.is_current()
+    }
+}
+
 impl PoolOwner {
     /// Begins ownership under `fencing_token` and begins to load the pool's records.
     pub(crate) fn new(pool: PoolId, fencing_token: Revision, context: &mut StepContext) -> Self {
@@ -325,8 +333,7 @@
         // Lease renewals and saves do not wait behind the starts of a pass.
         self.save_changes(context);
         self.send_holds(context);
-        let now = context.clock.now;
-        if self.stage.is_loaded() && self.pass.is_due(now) && context.shared.is_current(now) {
+        if self.stage.is_loaded() && self.pass.is_due(context.clock.now) && context.is_current() {
             self.run_pass(context);
         }
     }
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -21,6 +21,8 @@
     pub(crate) reports: BTreeMap<MinionId, MinionReport>,
     /// Time at which the latest complete reading was requested.
     pub(crate) read_at: Option<Moment>,
+    /// Time from which a reading must have been requested for starts by its reports.
+    required_since: Moment,
     pending_reports: BTreeMap<MinionId, MinionReport>,
     reading_began_at: Moment,
     is_call_in_flight: bool,
@@ -28,6 +30,19 @@
 }
 
 impl Registry {
+    /// Requires a reading that is requested from now on, because the store has answered none for
+    /// some time.
+    pub(crate) fn require_reading(&mut self, now: Moment) {
+        self.required_since = now;
+        self.next_call_at = now;
+    }
+
+    /// Whether the reports have been read since the store last answered again. Earlier reports may
+    /// miss that a minion drains.
+    pub(crate) fn is_current(&self) -> bool {
+        self.read_at.is_some_and(|read_at| read_at >= self.required_since)
+    }
+
     pub(crate) fn on_tick(&mut self, clock: Clock, out: &mut Outbox) {
         if !self.is_call_in_flight && clock.now >= self.next_call_at {
             self.pending_reports.clear();
--- a/crates/fleet/tests/rules/configuration.rs
+++ b/crates/fleet/tests/rules/configuration.rs
@@ -11,12 +11,16 @@
     build_report, read_seeds, run_scenario_with, submit_batch,
 };
 use crate::simulation::Simulation;
+use crate::slow_links::{SLOW_LINK, set_link};
 
 /// Time between two probes of a daemon, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 50;
 /// Duration of a silence of the store that ends just after a watch that was sent into it has timed
 /// out and been sent again.
 const SILENCE_MS: u64 = 6_300;
+/// Duration of a silence that ends just after a range that was sent into it over a slow link has
+/// timed out and been sent again.
+const SLOW_LINK_SILENCE_MS: u64 = 7_200;
 /// Time from a change to the next watch of each daemon.
 const WATCH_RENEWAL_MS: u64 = 60;
 /// Number of VMs in the spare pool.
@@ -126,6 +130,26 @@
     assert_eq!(simulation.checker.violations.first(), None);
 }
 
+/// Guards against starts on minions that began to drain when the store came back, by an owner whose
+/// reading of the reports was lost in the silence and is waited for on a slow link.
+#[test]
+fn draining_minions_get_no_start_after_a_silence_of_the_store() {
+    let mut simulation = build_simulation(1);
+    for daemon in 0..DAEMON_COUNT {
+        set_link(&mut simulation, daemon, SLOW_LINK);
+    }
+    simulation.run_until(simulation.now + 6_000);
+    submit_backlog(&mut simulation);
+    silence_store(&mut simulation, SLOW_LINK_SILENCE_MS);
+    for minion in simulation.minions.values_mut().take(2) {
+        minion.report.is_draining = true;
+    }
+    let starts_before = simulation.checker.start_count;
+    simulation.run_until(simulation.now + 9_000);
+    assert!(simulation.checker.start_count > starts_before);
+    assert_eq!(simulation.checker.violations.first(), None);
+}
+
 /// Guards against starts of jobs whose cancellation another daemon has acknowledged.
 #[test]
 fn cancelled_jobs_are_not_started_after_a_silence_of_the_store() {
--- a/crates/fleet/tests/rules/slow_links.rs
+++ b/crates/fleet/tests/rules/slow_links.rs
@@ -11,7 +11,7 @@
 use crate::simulation::Simulation;
 
 /// Bandwidth of the slowest link that the platform gives to a daemon.
-const SLOW_LINK: LinkRate = LinkRate(10_000);
+pub const SLOW_LINK: LinkRate = LinkRate(10_000);
 /// Size of a job's payload, so that a page of jobs reaches the maximum size in bytes.
 const PAYLOAD_BYTES: usize = 2_000;
 
@@ -44,7 +44,7 @@
 }
 
 /// Starts a daemon again on a VM with this link.
-fn set_link(simulation: &mut Simulation, daemon: usize, link: LinkRate) {
+pub fn set_link(simulation: &mut Simulation, daemon: usize, link: LinkRate) {
     simulation.daemons[daemon].link = Some(link);
     simulation.daemons[daemon].capacity.link = link;
     simulation.start_daemon(daemon);
