--- a/crates/daemon/src/runtime/metrics.rs
+++ b/crates/daemon/src/runtime/metrics.rs
@@ -15,7 +15,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 use state::Millis;
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -69,75 +69,80 @@
     pub dropped_lines: Counter,
 }
 
+/// Registers a metric under `name` and returns it.
+fn register<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
+    registry.register(name, help, metric.clone());
+    metric
+}
+
 impl Default for MetricsRegistry {
     fn default() -> Self {
-        let mut metrics = Self {
-            registry: Registry::with_prefix("pollenfall"),
-            answers: Family::default(),
-            answer_seconds: new_latency_family(),
-            store_calls: Family::default(),
-            store_seconds: new_latency_family(),
-            store_answer_bytes: Family::new_with_constructor(new_length_histogram),
-            step_seconds: Family::new_with_constructor(new_step_histogram),
-            tick_late_seconds: new_latency_histogram(),
-            placement_checks: Counter::default(),
-            record_age: Gauge::default(),
-            orders: Family::default(),
-            order_seconds: new_latency_family(),
-            decisions: Family::default(),
-            dropped_lines: Counter::default(),
-        };
-        let registry = &mut metrics.registry;
-        registry.register("answers", "Answers to submitters", metrics.answers.clone());
-        registry.register(
-            "answer_seconds",
-            "From a request to its answer",
-            metrics.answer_seconds.clone(),
-        );
-        registry.register("store_calls", "Calls to the store", metrics.store_calls.clone());
-        registry.register(
-            "store_seconds",
-            "From a call to the store to its answer",
-            metrics.store_seconds.clone(),
-        );
-        registry.register(
-            "store_answer_bytes",
-            "Length of the store's complete answers",
-            metrics.store_answer_bytes.clone(),
-        );
-        registry.register(
-            "step_seconds",
-            "Duration of a step of the state machine with its effects",
-            metrics.step_seconds.clone(),
-        );
-        registry.register(
-            "tick_late_seconds",
-            "Delay of a clock tick beyond the tick interval",
-            metrics.tick_late_seconds.clone(),
-        );
-        registry.register(
-            "placement_checks",
-            "Jobs, minions and runs that this daemon has examined as the owner of pools",
-            metrics.placement_checks.clone(),
-        );
-        registry.register(
-            "record_age_seconds",
-            "Time since the store last confirmed the configuration and the other shared records",
-            metrics.record_age.clone(),
-        );
-        registry.register("orders", "Orders to minions", metrics.orders.clone());
-        registry.register(
-            "order_seconds",
-            "From an order to its answer",
-            metrics.order_seconds.clone(),
-        );
-        registry.register("decisions", "Decisions, as logged", metrics.decisions.clone());
-        registry.register(
-            "dropped_lines",
-            "Log lines that found the ring full",
-            metrics.dropped_lines.clone(),
-        );
-        metrics
+        let mut registry = Registry::with_prefix("pollenfall");
+        let own = &mut registry;
+        let (latencies, seconds) = (new_latency_family, new_latency_histogram);
+        let lengths = || Family::new_with_constructor(new_length_histogram as fn() -> Histogram);
+        let steps = || Family::new_with_constructor(new_step_histogram as fn() -> Histogram);
+        Self {
+            answers: register(own, "answers", "Answers to submitters", Family::default()),
+            answer_seconds: register(
+                own,
+                "answer_seconds",
+                "From a request to its answer",
+                latencies(),
+            ),
+            store_calls: register(own, "store_calls", "Calls to the store", Family::default()),
+            store_seconds: register(
+                own,
+                "store_seconds",
+                "From a call to the store to its answer",
+                latencies(),
+            ),
+            store_answer_bytes: register(
+                own,
+                "store_answer_bytes",
+                "Length of the store's complete answers",
+                lengths(),
+            ),
+            step_seconds: register(
+                own,
+                "step_seconds",
+                "Duration of a step of the state machine with its effects",
+                steps(),
+            ),
+            tick_late_seconds: register(
+                own,
+                "tick_late_seconds",
+                "Delay of a clock tick beyond the tick interval",
+                seconds(),
+            ),
+            placement_checks: register(
+                own,
+                "placement_checks",
+                "Jobs, minions and runs that this daemon has examined as the owner of pools",
+                Counter::default(),
+            ),
+            record_age: register(
+                own,
+                "record_age_seconds",
+                "Time since the store last confirmed the configuration and the other shared records",
+                Gauge::default(),
+            ),
+            orders: register(own, "orders", "Orders to minions", Family::default()),
+            order_seconds: register(
+                own,
+                "order_seconds",
+                "From an order to its answer",
+                latencies(),
+            ),
+            decisions: register(own, "decisions", "Decisions, as logged", Family::default()),
+            dropped_lines: register(
+                own,
+                "dropped_lines",
+                "Log lines that found the ring full",
+                Counter::default(),
+            ),
+            registry,
+        }
     }
 }
 
--- a/crates/fleet/src/contact.rs
+++ b/crates/fleet/src/contact.rs
@@ -11,6 +11,14 @@
 use crate::io::StoreAnswer;
 use crate::outbox::{CallPurpose, Outbox};
 
+/// Call to the store with its answer.
+#[derive(Debug)]
+pub(crate) struct AnsweredCall<'a> {
+    pub(crate) purpose: &'a CallPurpose,
+    pub(crate) sent_at: Moment,
+    pub(crate) answer: &'a StoreAnswer,
+}
+
 /// What the answer to a call shows of earlier calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ContactChange {
@@ -34,19 +42,18 @@
 }
 
 impl StoreContact {
-    /// Records the answer to a call that was sent at `sent_at`.
+    /// Records the answer to a call.
     pub(crate) fn record_answer(
         &mut self,
         clock: Clock,
         out: &mut Outbox,
-        purpose: &CallPurpose,
-        sent_at: Moment,
-        answer: &StoreAnswer,
+        call: &AnsweredCall,
     ) -> ContactChange {
-        if matches!(answer, StoreAnswer::Refused | StoreAnswer::Unknown) {
+        let sent_at = call.sent_at;
+        if matches!(call.answer, StoreAnswer::Refused | StoreAnswer::Unknown) {
             // The store may lose the answer to a write although it serves all other calls.
-            if !purpose.is_commit() {
-                self.record_failure(clock, out, purpose, sent_at, answer);
+            if !call.purpose.is_commit() {
+                self.record_failure(clock, out, call);
             }
             return ContactChange::None;
         }
@@ -60,14 +67,8 @@
         ContactChange::Regained
     }
 
-    fn record_failure(
-        &mut self,
-        clock: Clock,
-        out: &mut Outbox,
-        purpose: &CallPurpose,
-        sent_at: Moment,
-        answer: &StoreAnswer,
-    ) {
+    fn record_failure(&mut self, clock: Clock, out: &mut Outbox, call: &AnsweredCall) {
+        let AnsweredCall { purpose, sent_at, answer } = *call;
         self.last_failure = Some(clock.now);
         // A call that was sent before an answered one may have been lost alone.
         let is_latest = self.last_answered_call.is_none_or(|answered| sent_at > answered);
--- a/crates/fleet/src/core.rs
+++ b/crates/fleet/src/core.rs
@@ -8,7 +8,7 @@
 
 use state::{Millis, Moment, PoolId, Revision};
 
-use crate::contact::{ContactChange, StoreContact};
+use crate::contact::{AnsweredCall, ContactChange, StoreContact};
 use crate::event::{Clock, Effect, Event};
 use crate::intake::Intake;
 use crate::key::ShardKey;
@@ -160,8 +160,8 @@
         sent_at: Moment,
         answer: crate::io::StoreAnswer,
     ) {
-        let out = &mut self.out;
-        let contact_change = self.contact.record_answer(clock, out, &purpose, sent_at, &answer);
+        let call = AnsweredCall { purpose: &purpose, sent_at, answer: &answer };
+        let contact_change = self.contact.record_answer(clock, &mut self.out, &call);
         if contact_change == ContactChange::Regained {
             self.registry.require_reading(clock.now);
         }
