--- a/crates/fleet/src/vm_controller.rs
+++ b/crates/fleet/src/vm_controller/mod.rs
@@ -8,23 +8,28 @@
 //! it as down.
 //!
 //! An offered VM goes to the pool that requests the most VMs. A VM that no pool
-//! requests goes back to the spare pool, where it costs nothing.
+//! requests goes back to the spare pool, where it costs nothing. The module `waves` handles the
+//! progress of maintenance waves.
+
+mod waves;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use state::{Moment, PoolId, Revision, VmId};
 
-use crate::io::{CloudAnswer, CloudCall, PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
+use crate::io::{CloudAnswer, CloudCall, StoreAnswer};
 use crate::key::{OwnKey, ShardKey, StoreKey};
-use crate::model::{VmPhase, VmReport, WaveOrder, WavePhase};
+use crate::model::{VmPhase, VmReport, WaveOrder};
 use crate::outbox::CallPurpose;
 use crate::pool::StepContext;
-use crate::records::{VmMaintenance, WaveProgressDoc, encode};
+use crate::records::VmMaintenance;
 use crate::timing::{
     COMMIT_RETRY_DELAY, MAX_VM_LIST_AGE, MOVE_VISIBILITY_DELAY, OFFERED_VM_RETENTION,
     VM_LIST_IDLE_INTERVAL, VM_LIST_INTERVAL,
 };
 
+pub(crate) use waves::{incomplete_waves, wave_commit, wave_progress_of};
+
 /// Store and cloud calls of [`VmController`].
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum VmControllerCall {
@@ -154,124 +159,10 @@
         );
     }
 
-    fn update_wave(&mut self, context: &mut StepContext, order: &WaveOrder) {
-        let progress = wave_progress_of(context, order.wave);
-        self.order_maintenance(context, order, &progress);
-        let revision =
-            context.shared.wave_progress.get(&order.wave).map(|progress| progress.revision);
-        let revision = revision.unwrap_or(Revision(0));
-        if self.is_write_in_flight
-            || context.clock.now < self.next_write_at
-            || revision < self.written_revision
-        {
-            return;
-        }
-        let mut next_progress = progress.clone();
-        self.mark_maintained(&mut next_progress, order);
-        self.mark_spare_vms(context, &mut next_progress, order);
-        if next_progress != progress || revision.0 == 0 {
-            self.write_progress(context, order, revision, &next_progress);
-        }
-    }
-
-    fn order_maintenance(
-        &mut self,
-        context: &mut StepContext,
-        order: &WaveOrder,
-        progress: &WaveProgressDoc,
-    ) {
-        for (vm, state) in &progress.vms {
-            let is_order_due = *state == VmMaintenance::Down
-                && !self.pending_orders.contains(vm)
-                && !self.maintenance_answered_at.contains_key(&(order.wave, vm.clone()));
-            if is_order_due {
-                let wave = order.wave;
-                let inputs = format!("wave {wave}, {}", self.describe_basis(context));
-                context.out.log("upkeep", vm, inputs, "ordered");
-                let call = CloudCall::Maintenance {
-                    vm: vm.clone(),
-                    wave,
-                    fencing_token: self.fencing_token.0,
-                };
-                self.send_order(
-                    context,
-                    vm,
-                    VmControllerCall::Maintenance { vm: vm.clone(), wave },
-                    call,
-                );
-            }
-        }
-    }
-
-    /// Marks the VMs that are up again after maintenance and those that no longer
-    /// exist.
-    fn mark_maintained(&self, progress: &mut WaveProgressDoc, order: &WaveOrder) {
-        let Some(listed_at) = self.listed_at else { return };
-        for vm in &order.vms {
-            let state = progress.vms.get(vm).copied();
-            if state == Some(VmMaintenance::Done) {
-                continue;
-            }
-            let is_done = match self.vms.get(vm) {
-                None => true,
-                Some(known) => {
-                    let answered_at = self.maintenance_answered_at.get(&(order.wave, vm.clone()));
-                    known.phase == VmPhase::Up
-                        && state == Some(VmMaintenance::Down)
-                        && answered_at.is_some_and(|at| *at < listed_at)
-                }
-            };
-            if is_done {
-                progress.vms.insert(vm.clone(), VmMaintenance::Done);
-            }
-        }
-    }
-
-    /// Marks VMs of spare pools as down without a drain, since no task runs on them.
-    fn mark_spare_vms(
-        &self,
-        context: &StepContext,
-        progress: &mut WaveProgressDoc,
-        order: &WaveOrder,
-    ) {
-        for vm in &order.vms {
-            let down_count =
-                progress.vms.values().filter(|state| **state == VmMaintenance::Down).count();
-            if down_count >= order.max_down as usize {
-                return;
-            }
-            let is_up_in_spare_pool = self.vms.get(vm).is_some_and(|known| {
-                is_spare_pool(context, &known.pool) && known.phase == VmPhase::Up
-            });
-            if is_up_in_spare_pool
-                && !progress.vms.contains_key(vm)
-                && !self.is_order_in_progress(vm)
-            {
-                progress.vms.insert(vm.clone(), VmMaintenance::Down);
-            }
-        }
-    }
-
     fn is_order_in_progress(&self, vm: &VmId) -> bool {
         self.pending_orders.contains(vm) || self.recent_moves.contains_key(vm)
     }
 
-    fn write_progress(
-        &mut self,
-        context: &mut StepContext,
-        order: &WaveOrder,
-        revision: Revision,
-        next_progress: &WaveProgressDoc,
-    ) {
-        self.is_write_in_flight = true;
-        let owner = StoreKey::Own(OwnKey::Owner(ShardKey::VmController));
-        let commit = wave_commit(owner, self.fencing_token, order, revision, next_progress);
-        let inputs = format!("{} of {} VMs marked", next_progress.vms.len(), order.vms.len());
-        context.out.log("wave", order.wave, inputs, "written");
-        let purpose = CallPurpose::VmController(self.fencing_token, VmControllerCall::WaveCommit);
-        context.out.call_store(context.clock, purpose, StoreCall::Commit(commit));
-    }
-
     /// Moves offered VMs to pools that request VMs.
     fn move_vms(&mut self, context: &mut StepContext, incomplete_waves: &[WaveOrder]) {
         let now = context.clock.now;
@@ -445,49 +336,3 @@
     let config = context.shared.config.as_ref();
     config.and_then(|config| config.pools.get(pool)).is_some_and(|pool| pool.is_spare)
 }
-
-/// Returns the waves that have VMs left to maintain.
-pub(crate) fn incomplete_waves(context: &StepContext) -> Vec<WaveOrder> {
-    let is_incomplete =
-        |order: &&WaveOrder| !is_complete(order, &wave_progress_of(context, order.wave));
-    context.shared.wave_orders.values().filter(is_incomplete).cloned().collect()
-}
-
-pub(crate) fn wave_progress_of(context: &StepContext, wave: u64) -> WaveProgressDoc {
-    context
-        .shared
-        .wave_progress
-        .get(&wave)
-        .map(|progress| progress.record.clone())
-        .unwrap_or_default()
-}
-
-fn is_complete(order: &WaveOrder, progress: &WaveProgressDoc) -> bool {
-    order.vms.iter().all(|vm| progress.vms.get(vm) == Some(&VmMaintenance::Done))
-}
-
-/// Builds the commit that writes a wave's progress together with the status for the
-/// operator.
-pub(crate) fn wave_commit(
-    owner: StoreKey,
-    fencing_token: Revision,
-    order: &WaveOrder,
-    revision: Revision,
-    next_progress: &WaveProgressDoc,
-) -> StoreCommit {
-    let phase =
-        if is_complete(order, next_progress) { WavePhase::Complete } else { WavePhase::Active };
-    let key = StoreKey::Own(OwnKey::Wave(order.wave));
-    let record =
-        StorePut { key: key.clone(), value: PutValue::Own(encode(next_progress)), lease: None };
-    let status = StorePut {
-        key: StoreKey::WaveStatus(order.wave),
-        value: PutValue::Status(phase),
-        lease: None,
-    };
-    StoreCommit {
-        expect: vec![(owner, fencing_token), (key, revision)],
-        puts: vec![record, status],
-        remove: Vec::new(),
-    }
-}
