A new owner drains no long-running task until earlier stops have ended

Cause: a minion lists a run as running, at work, until its stop has ended it, so the new owner counted both tasks as serving.

--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -30,6 +30,8 @@
     /// Duration for which orders for a VM must come from one owner of the VM
     /// controller.
     pub controller_lease: Millis,
+    /// Maximum time that a minion takes to stop a run.
+    pub max_stop: Millis,
     /// Time within which a change of the configuration must be in force on every daemon.
     pub config_apply: Millis,
 }
--- a/crates/fleet/src/pool/maintenance.rs
+++ b/crates/fleet/src/pool/maintenance.rs
@@ -16,7 +16,7 @@
 use crate::io::{StoreAnswer, StoreCall};
 use crate::model::WaveOrder;
 use crate::records::{VmMaintenance, WaveProgressDoc};
-use crate::timing::COMMIT_RETRY_DELAY;
+use crate::timing::{COMMIT_RETRY_DELAY, EARLIER_ORDER_MARGIN};
 use crate::vm_controller::{incomplete_waves, wave_commit, wave_progress_of};
 
 /// State of the maintenance of this pool's VMs.
@@ -169,7 +169,7 @@
             .map(|(key, _)| key.clone())
             .collect();
         for (task, run) in running {
-            if self.may_stop(&task, respects_may_miss, context.clock.now) {
+            if self.may_stop(context, &task, respects_may_miss) {
                 context.out.log("move", &task, format!("{id} is being drained"), "stopped");
                 self.stop_run(context, id, &task, run);
             }
@@ -177,7 +177,8 @@
     }
 
     /// Whether a run of the task may be stopped to drain its minion.
-    fn may_stop(&self, task: &TaskName, respects_may_miss: bool, now: Moment) -> bool {
+    fn may_stop(&self, context: &StepContext, task: &TaskName, respects_may_miss: bool) -> bool {
+        let now = context.clock.now;
         let Some(job) = self.jobs.get(&task.job) else { return true };
         let position = position_of(task);
         let Some(step) = job.spec.steps.get(usize::from(position.1)) else { return true };
@@ -187,6 +188,10 @@
         if !respects_may_miss {
             return true;
         }
+        // A minion lists a run as running until a stop that the previous owner has ordered ends it.
+        if now < self.owned_since + context.settings.max_stop + EARLIER_ORDER_MARGIN {
+            return false;
+        }
         let serving = (0..step.tasks)
             .filter(|index| *index != position.2)
             .filter(|index| self.is_serving(task, *index, now))
--- a/crates/fleet/tests/rules/configuration.rs
+++ b/crates/fleet/tests/rules/configuration.rs
@@ -1,6 +1,7 @@
 //! Runs in which the operator changes the configuration, evacuates a data centre or cancels jobs
 //! beside faults of the store and of the connections to it.
 
+use fleet::ClientAnswer;
 use rstest::rstest;
 use state::Millicores;
 
@@ -22,6 +23,9 @@
 /// Duration of a silence that ends just after a range that was sent into it over a slow link has
 /// timed out and been sent again.
 const SLOW_LINK_SILENCE_MS: u64 = 7_200;
+/// Time from the store's return until every daemon has had an answer to a renewal of its lease, and
+/// to the call after it: the timeout of a renewal, the pause before the next one, two answers.
+const RENEWAL_RETRY_MS: u64 = 1_150;
 /// Time from a change to the next watch of each daemon.
 const WATCH_RENEWAL_MS: u64 = 60;
 /// Number of VMs in the spare pool.
@@ -97,6 +101,24 @@
     assert_probes_held(&simulation);
 }
 
+/// Guards against daemons that wait for a lost watch to time out although the store has answered
+/// their other calls.
+#[rstest]
+fn daemons_hear_of_changes_once_the_store_answers_other_calls(
+    #[values(5_500, 6_000, 6_500, 7_000, 7_500)] silence: u64,
+) {
+    let mut simulation = build_simulation(1);
+    silence_store(&mut simulation, silence);
+    let targets = replace_queue(&mut simulation);
+    let returned_at = simulation.now;
+    probe_until(&mut simulation, &targets[..1], returned_at + 3_000);
+    let answers = simulation.operator.answers.iter();
+    let late = answers.filter(|(at, answer)| {
+        *at > returned_at + RENEWAL_RETRY_MS && !matches!(answer, ClientAnswer::Pending(_))
+    });
+    assert_eq!(late.collect::<Vec<_>>(), Vec::<&(u64, ClientAnswer)>::new());
+}
+
 /// Guards against a daemon that hears of no change because one connection is silent while the
 /// store is well.
 #[test]
@@ -164,7 +186,8 @@
 
 /// Returns the ages, in milliseconds, that the decisions name between two texts.
 fn list_ages(simulation: &Simulation, decision: &str, before: &str, after: &str) -> Vec<u64> {
-    let lines = simulation.order_decisions.iter().filter(|line| line.decision == decision);
+    let lines = simulation.order_decisions.iter().map(|(_, line)| line);
+    let lines = lines.filter(|line| line.decision == decision);
     let age_of = |inputs: &str| {
         let (_, age) = inputs.rsplit_once(before)?;
         age.split_once(after)?.0.parse().ok()
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -9,6 +9,7 @@
 mod config_rule;
 mod configuration;
 mod fixtures;
+mod handover;
 mod injected_fault;
 mod minion;
 mod overload;
--- a/crates/fleet/tests/rules/minion.rs
+++ b/crates/fleet/tests/rules/minion.rs
@@ -47,6 +47,8 @@
     closed_runs: BTreeMap<TaskName, RunNumber>,
     /// Highest number of a finished run that an owner has saved.
     pub saved_end: u64,
+    /// Time from the order to stop a run until the run has stopped, in milliseconds.
+    pub stop_duration_ms: u64,
 }
 
 /// Event on a minion, for the rule checker.
@@ -74,8 +76,10 @@
     },
 }
 
-/// Time from the order to stop a run until the run has stopped.
+/// Time from the order to stop a run until the run has stopped, unless a test sets another.
 const STOP_DURATION_MS: u64 = 300;
+/// Time from the start of a run until its task is at work.
+const STARTUP_MS: u64 = 700;
 /// Maximum time by which an order extends the lease, by the minion's clock.
 const MAX_LEASE_MS: u64 = 10_000;
 
@@ -94,9 +98,16 @@
             finished_count: 0,
             closed_runs: BTreeMap::new(),
             saved_end: 0,
+            stop_duration_ms: STOP_DURATION_MS,
         }
     }
 
+    /// Whether a run of the task is at work and was not told to stop.
+    pub fn serves(&self, task: &TaskName, now: u64) -> bool {
+        let run = self.runs.get(task);
+        run.is_some_and(|run| run.stopping.is_none() && now > run.started_ms + STARTUP_MS)
+    }
+
     /// Ends the incarnation, and returns the tasks whose runs are lost.
     pub fn crash(&mut self) -> Vec<TaskName> {
         self.is_up = false;
@@ -204,7 +215,7 @@
                 if let Some(live_run) = self.runs.get_mut(task)
                     && live_run.number <= *run
                 {
-                    live_run.stopping.get_or_insert(now + STOP_DURATION_MS);
+                    live_run.stopping.get_or_insert(now + self.stop_duration_ms);
                 }
                 ok
             }
@@ -279,7 +290,7 @@
             task: task.clone(),
             run: run.number,
             checkpoint: None,
-            percent: if now > run.started_ms + 700 { 100 } else { 0 },
+            percent: if now > run.started_ms + STARTUP_MS { 100 } else { 0 },
             reported_metric: None,
         });
         MinionAnswer::Held {
--- a/crates/fleet/tests/rules/reads.rs
+++ b/crates/fleet/tests/rules/reads.rs
@@ -28,6 +28,7 @@
             capacity: DaemonCapacity::default(),
             max_run_lease: Millis(10_000),
             controller_lease: Millis(3_000),
+            max_stop: Millis(1_000),
             config_apply: Millis(CONFIG_APPLY_MS),
         };
         Self { core: FleetCore::new(settings), now: Moment(1_000), open_calls: Vec::new() }
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -218,8 +218,9 @@
     pub event_count: u64,
     /// Decisions about pools, each with its virtual time and its daemon.
     pub pool_decisions: Vec<(u64, usize, DecisionLine)>,
-    /// Decisions to start a task or to move a VM.
-    pub order_decisions: Vec<DecisionLine>,
+    /// Decisions to start a task, to move a VM, or to stop a task because its VM drains, each with
+    /// its daemon.
+    pub order_decisions: Vec<(usize, DecisionLine)>,
     /// Scope and start of each range that the store has answered with a page.
     pub read_pages: Vec<(KeyScope, Option<StoreKey>)>,
     /// Messages with the daemon and its incarnation, by delivery time and sequence number.
@@ -302,6 +303,7 @@
             capacity: daemon_state.capacity,
             max_run_lease: Millis(10_000),
             controller_lease: Millis(3_000),
+            max_stop: Millis(1_000),
             config_apply: Millis(CONFIG_APPLY_MS),
         };
         daemon_state.core = Some(FleetCore::new(settings));
@@ -317,6 +319,12 @@
         self.daemons[daemon].core = None;
     }
 
+    /// Stops a daemon gracefully, as a signal does.
+    pub fn stop_daemon(&mut self, daemon: usize) {
+        let incarnation = self.daemons[daemon].incarnation;
+        self.schedule_answer(daemon, incarnation, 0, Event::Stop);
+    }
+
     pub fn is_up(&self, daemon: usize) -> bool {
         self.daemons[daemon].core.is_some()
     }
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -217,9 +217,11 @@
                 }
                 match line.decision {
                     "pool" => self.pool_decisions.push((self.now, daemon, line)),
-                    "start" => self.order_decisions.push(line),
+                    "start" | "move" => self.order_decisions.push((daemon, line)),
                     // Other lines of a move have its answer.
-                    "move-vm" if line.outcome.starts_with("to ") => self.order_decisions.push(line),
+                    "move-vm" if line.outcome.starts_with("to ") => {
+                        self.order_decisions.push((daemon, line))
+                    }
                     _ => {}
                 }
             }
