--- a/crates/fleet/src/contact.rs
+++ b/crates/fleet/src/contact.rs
@@ -1,9 +1,9 @@
 //! Detects that the store answers again after a time in which it did not.
 //!
 //! A watch that waits for changes looks the same whether nothing changes or nobody listens at the
-//! other end. Other calls have an answer of their own, so they show which it is: every watch that
-//! was sent before a call failed is sent again once a call that was sent after that failure is
-//! answered (`docs/PLATFORM.md`, "Hearing of changes").
+//! other end. Other calls have an answer of their own, so they show which it is: once a call that
+//! was sent after a failure is answered, every watch that was sent before that call is sent again
+//! (`docs/PLATFORM.md`, "Hearing of changes").
 
 use state::Moment;
 
