Ready tasks that wait have a measured cause

Cause: which of order, allocation, capacity, pause of a minion or save holds a ready task back could not be told from logs or metrics; and at most 600 decision lines a second are written, so a busy owner seemed to start 300 tasks a second at most (start and end lines), whatever it started. Change: the state machine measures for each start how long the task was ready and what the last pass found; the delay of a pass and of a save; the daemon adds the wait of an event. Histograms, a line 'owner load' a second, and the cause in each start line. No decision changed.

--- a/crates/daemon/src/runtime/host.rs
+++ b/crates/daemon/src/runtime/host.rs
@@ -19,6 +19,7 @@
 use transport::CallSender;
 
 use super::delay::StepTotals;
+use super::load_report::LoadReport;
 use super::metrics::{MetricsRegistry, event_label};
 use super::priority_lock::{LockPriority, PriorityLock};
 
@@ -55,6 +56,7 @@
     pub metrics: MetricsRegistry,
     /// Steps since the last report of the tick monitor.
     pub step_totals: StepTotals,
+    load_report: LoadReport,
 }
 
 impl FleetHost {
@@ -75,6 +77,7 @@
             is_ready: AtomicBool::new(false),
             metrics: MetricsRegistry::default(),
             step_totals: StepTotals::default(),
+            load_report: LoadReport::default(),
         }
     }
 
@@ -132,7 +135,13 @@
 
     fn post_with_priority(self: &Arc<Self>, priority: LockPriority, event: Event) {
         let mut replies = Vec::new();
-        self.core.with(priority, |core| self.step(core, event, &mut replies));
+        let posted_at = Instant::now();
+        self.core.with(priority, |core| {
+            let wait = posted_at.elapsed();
+            self.metrics.record_event_wait(wait);
+            self.load_report.add_event(wait);
+            self.step(core, event, &mut replies);
+        });
         for (token, answer) in replies {
             self.send_answer(token, &answer);
         }
@@ -176,6 +185,10 @@
                     self.metrics.dropped_lines.inc();
                 }
             }
+            Effect::Measure(measurement) => {
+                self.metrics.record_measurement(measurement);
+                self.load_report.add_measurement(measurement);
+            }
             Effect::Stopped => {
                 let _ = self.exit_sender.try_send(());
             }
--- a/crates/daemon/src/runtime/metrics.rs
+++ b/crates/daemon/src/runtime/metrics.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use fleet::io::{MinionAnswer, MinionCall, StoreAnswer, StoreCall};
-use fleet::{ClientAnswer, DecisionLine, Event};
+use fleet::{ClientAnswer, DecisionLine, Event, Measurement};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -64,6 +64,10 @@
     record_age: Gauge<f64, AtomicU64>,
     orders: Family<OutcomeLabels, Counter>,
     order_seconds: HistogramFamily,
+    ready_seconds: HistogramFamily,
+    pass_delay_seconds: Histogram,
+    end_saved_seconds: Histogram,
+    event_wait_seconds: Histogram,
     decisions: Family<KindLabel, Counter>,
     /// Decision lines dropped because the log channel was full.
     pub dropped_lines: Counter,
@@ -134,6 +138,30 @@
                 "From an order to its answer",
                 latencies(),
             ),
+            ready_seconds: register(
+                own,
+                "ready_seconds",
+                "Time for which started tasks had been ready, by what had prevented their start",
+                latencies(),
+            ),
+            pass_delay_seconds: register(
+                own,
+                "pass_delay_seconds",
+                "From the request of a placement pass to the pass",
+                seconds(),
+            ),
+            end_saved_seconds: register(
+                own,
+                "end_saved_seconds",
+                "From the processing of a finished run until it was saved",
+                seconds(),
+            ),
+            event_wait_seconds: register(
+                own,
+                "event_wait_seconds",
+                "Time for which an event waited for the state machine",
+                seconds(),
+            ),
             decisions: register(own, "decisions", "Decisions, as logged", Family::default()),
             dropped_lines: register(
                 own,
@@ -233,6 +261,24 @@
         self.order_seconds.get_or_create(&KindLabel { kind }).observe(to_seconds(duration));
     }
 
+    /// Records how long an event waited until the state machine processed it.
+    pub fn record_event_wait(&self, duration: Duration) {
+        self.event_wait_seconds.observe(duration.as_secs_f64());
+    }
+
+    pub fn record_measurement(&self, measurement: Measurement) {
+        match measurement {
+            Measurement::TaskReady(cause, duration) => {
+                let label = KindLabel { kind: cause.label() };
+                self.ready_seconds.get_or_create(&label).observe(to_seconds(duration));
+            }
+            Measurement::PassDelay(delay) => self.pass_delay_seconds.observe(to_seconds(delay)),
+            Measurement::EndSaved(duration) => {
+                self.end_saved_seconds.observe(to_seconds(duration));
+            }
+        }
+    }
+
     pub fn record_decision(&self, line: &DecisionLine) {
         self.decisions.get_or_create(&KindLabel { kind: line.decision }).inc();
     }
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -10,6 +10,7 @@
 mod decision_log;
 mod delay;
 mod host;
+mod load_report;
 mod metrics;
 mod priority_lock;
 mod probes;
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -128,6 +128,53 @@
     Stop,
 }
 
+/// Reason why a ready task was not started by the last placement pass that visited it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WaitCause {
+    /// No pass had visited the task: it started in the first one.
+    FirstPass,
+    /// The pool's allocation of the team's limit was used up.
+    Allocation,
+    /// No minion had enough free capacity.
+    Capacity,
+    /// Only minions that get no starts at present had enough free capacity: paused after a
+    /// refusal, being drained, evacuated, or not confirmed by this owner yet.
+    UnusableMinions,
+    /// Minions had enough free capacity, but not the label that the step requires, or as many
+    /// tasks of the step as may run on one minion.
+    Constraints,
+}
+
+impl WaitCause {
+    /// Returns the label of the cause in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::FirstPass => "first-pass",
+            Self::Allocation => "allocation",
+            Self::Capacity => "capacity",
+            Self::UnusableMinions => "unusable-minions",
+            Self::Constraints => "constraints",
+        }
+    }
+}
+
+impl fmt::Display for WaitCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.label())
+    }
+}
+
+/// Duration that the caller of the state machine adds to its metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Measurement {
+    /// Time for which a started task had been ready, and what had prevented its start.
+    TaskReady(WaitCause, Millis),
+    /// Time from the request of a placement pass to the pass.
+    PassDelay(Millis),
+    /// Time from the processing of a finished run until it was saved.
+    EndSaved(Millis),
+}
+
 /// Effect that the caller of the state machine carries out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
@@ -150,6 +197,8 @@
     Cloud(CallId, CloudCall),
     /// Writes a log line.
     Log(DecisionLine),
+    /// Adds a duration to the metrics.
+    Measure(Measurement),
     /// Reports that the daemon has stopped and can exit.
     Stopped,
 }
--- a/crates/fleet/src/outbox.rs
+++ b/crates/fleet/src/outbox.rs
@@ -5,7 +5,7 @@
 
 use state::{Moment, PoolId, Revision};
 
-use crate::event::{CallId, ClientAnswer, Clock, Effect, ReplyToken};
+use crate::event::{CallId, ClientAnswer, Clock, Effect, Measurement, ReplyToken};
 use crate::intake::IntakeCall;
 use crate::io::{CloudCall, MinionCall, MinionTarget, StoreCall};
 use crate::pool::PoolCall;
@@ -142,6 +142,10 @@
         self.effects.push(Effect::Log(line));
     }
 
+    pub(crate) fn measure(&mut self, measurement: Measurement) {
+        self.effects.push(Effect::Measure(measurement));
+    }
+
     pub(crate) fn report_stopped(&mut self) {
         self.effects.push(Effect::Stopped);
     }
--- a/crates/fleet/src/pool/finished.rs
+++ b/crates/fleet/src/pool/finished.rs
@@ -25,7 +25,7 @@
             return;
         }
         minion.processed_end = row.number;
-        minion.unsaved_ends.push(row.number, row.task.job.clone());
+        minion.unsaved_ends.push(row.number, row.task.job.clone(), context.clock.now);
         self.save.has_new_ends = true;
         let EndedRow { number, task, run, kind, checkpoint } = row;
         context.out.log(
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -46,7 +46,7 @@
 use jobs::{RunNumber, TaskName};
 use state::{JobId, MinionId, Moment, PoolId, Revision};
 
-use crate::event::Clock;
+use crate::event::{Clock, Measurement};
 use crate::io::{MinionAnswer, StoreAnswer};
 use crate::key::{OwnKey, ShardKey, StoreKey};
 use crate::model::FleetSettings;
@@ -329,6 +329,7 @@
         if self.jobs.take_has_new() {
             self.pass.request();
         }
+        self.pass.note_request(context.clock.now);
         self.fail_exhausted_jobs(context);
         // Lease renewals and saves do not wait behind the starts of a pass.
         self.save_changes(context);
@@ -357,6 +358,7 @@
             self.place_tasks(context);
         }
         self.rebalance_allocations(context);
-        self.pass.record_pass(context.clock.now, self.work.count() - checks_before);
+        let delay = self.pass.record_pass(context.clock.now, self.work.count() - checks_before);
+        context.out.measure(Measurement::PassDelay(delay));
     }
 }
--- a/crates/fleet/src/pool/pass.rs
+++ b/crates/fleet/src/pool/pass.rs
@@ -10,6 +10,8 @@
 use jobs::Resources;
 use state::{Millis, MinionId, Moment};
 
+use crate::event::WaitCause;
+
 /// Number of visited jobs and minions for which the next pass is delayed by a millisecond.
 const CHECKS_PER_MS: u64 = 100;
 /// Maximum delay of the next pass.
@@ -22,6 +24,8 @@
 pub(super) struct PassSchedule {
     /// Whether something changed that may allow a start.
     is_requested: bool,
+    /// Time at which the requested pass was first seen to be open.
+    requested_at: Option<Moment>,
     /// Earliest time of the next pass.
     next_pass_at: Moment,
 }
@@ -37,10 +41,21 @@
         self.is_requested && now >= self.next_pass_at
     }
 
-    /// Records a pass that visited `checks` jobs and minions.
-    pub(super) fn record_pass(&mut self, now: Moment, checks: u64) {
+    /// Notes the time of a request. Runs in each step, so the time is that of the step which made
+    /// the request.
+    pub(super) fn note_request(&mut self, now: Moment) {
+        if self.is_requested {
+            self.requested_at.get_or_insert(now);
+        }
+    }
+
+    /// Records a pass that visited `checks` jobs and minions, and returns its delay since the
+    /// request.
+    pub(super) fn record_pass(&mut self, now: Moment, checks: u64) -> Millis {
         self.is_requested = false;
+        let delay = now - self.requested_at.take().unwrap_or(now);
         self.next_pass_at = now + Millis(checks / CHECKS_PER_MS).min(MAX_PASS_DELAY);
+        delay
     }
 }
 
@@ -51,6 +66,8 @@
     minions: BTreeSet<(Reverse<u64>, MinionId)>,
     /// Upper bounds of the free memory and accelerators of any minion.
     largest_free: Resources,
+    /// Upper bounds of the free resources of the pool's other minions.
+    largest_unusable: Resources,
     /// Reservations and labels for which no minion was found. Capacity only shrinks during
     /// a pass, so larger reservations with the same label find none either.
     failed_searches: Vec<(Resources, Option<Box<str>>)>,
@@ -63,6 +80,23 @@
         self.minions.insert((Reverse(free.processor.0), minion));
     }
 
+    /// Notes the free capacity of a minion that gets no starts at present.
+    pub(super) fn note_unusable(&mut self, free: &Resources) {
+        self.largest_unusable = self.largest_unusable.component_max(free);
+    }
+
+    /// Returns why no minion was found for a reservation.
+    pub(super) fn wait_cause(&self, reservation: &Resources) -> WaitCause {
+        let most_free = self.minions.first().map_or(0, |(Reverse(free), _)| *free);
+        if reservation.processor.0 <= most_free && reservation.fits_within(&self.largest_free) {
+            WaitCause::Constraints
+        } else if reservation.fits_within(&self.largest_unusable) {
+            WaitCause::UnusableMinions
+        } else {
+            WaitCause::Capacity
+        }
+    }
+
     /// Records that a minion's free processor time has changed.
     pub(super) fn update_minion(
         &mut self,
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -7,16 +7,18 @@
 //! the minion with the most free processor time, so that the tasks of each minion have as
 //! much processor time to share as possible. Long-running tasks are gathered on few minions.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 use jobs::{Resources, RunNumber, StepSpec};
-use state::{JobId, MinionId, TeamId};
+use state::{JobId, Millis, MinionId, TeamId};
 
 use super::job::{LiveRun, TaskPosition, task_name};
 use super::minion::{MinionRun, OwnedMinion, RunPhase};
 use super::orders::minion_target;
 use super::pass::PassCapacity;
 use super::{PoolCall, PoolOwner, StepContext};
+use crate::event::{Measurement, WaitCause};
 use crate::io::MinionCall;
 use crate::model::FleetConfig;
 use crate::timing::START_VALIDITY;
@@ -45,6 +47,8 @@
     reservation: Resources,
     /// Maximum number of failures of each task.
     max_attempts: u32,
+    ready_since_ms: u64,
+    wait_cause: &'a Cell<WaitCause>,
 }
 
 /// Resources and number of a gang's tasks that are already planned on each minion.
@@ -70,6 +74,8 @@
                     team: ready.team.as_ref(),
                     reservation: group.reservation,
                     max_attempts: ready.max_attempts,
+                    ready_since_ms: group.ready_since_ms,
+                    wait_cause: &group.wait_cause,
                 };
                 if spec.gang {
                     self.place_gang(context, &mut capacity, &group);
@@ -90,11 +96,11 @@
         let has_queue = config.queues.iter().any(|queue| queue.pool == self.pool);
         for job in self.jobs.take_unranked() {
             self.work.add(1);
-            self.ready_queue.remove(&job);
+            let previous = self.ready_queue.remove(&job);
             let Some(owned) = self.jobs.get(&job) else { continue };
             let queue = config.queue(&owned.queue);
             if !owned.may_have_unknown_runs && (queue.is_some() || has_queue) {
-                self.ready_queue.insert(job, owned, queue, wall_ms);
+                self.ready_queue.insert(job, owned, previous, queue, wall_ms);
             }
         }
     }
@@ -108,6 +114,8 @@
                 context.shared.evacuated_data_centres.contains(&minion.report.data_centre);
             if minion.is_usable(context.clock.now) && !is_evacuated {
                 capacity.add_minion(id.clone(), &minion.free_capacity());
+            } else if minion.is_listed {
+                capacity.note_unusable(&minion.free_capacity());
             }
         }
         capacity
@@ -122,8 +130,15 @@
     ) {
         let label = group.spec.label.as_deref();
         let may_start = |owner: &mut Self, capacity: &PassCapacity| {
-            owner.limits.has_capacity(group.team, &group.reservation)
-                && capacity.may_fit(&group.reservation, label)
+            if !owner.limits.has_capacity(group.team, &group.reservation) {
+                group.wait_cause.set(WaitCause::Allocation);
+                return false;
+            }
+            let may_fit = capacity.may_fit(&group.reservation, label);
+            if !may_fit {
+                group.wait_cause.set(capacity.wait_cause(&group.reservation));
+            }
+            may_fit
         };
         if !may_start(self, capacity) {
             return;
@@ -132,6 +147,7 @@
             && may_start(self, capacity)
         {
             let Some(minion) = self.select_minion(capacity, group, &GangPlan::new()) else {
+                group.wait_cause.set(capacity.wait_cause(&group.reservation));
                 if group.spec.max_per_minion.is_none() {
                     capacity.record_failed_search(&group.reservation, label);
                 }
@@ -279,14 +295,18 @@
         let until_clock = clock + START_VALIDITY.0;
         minion.extend_lease(until_clock, now);
         let inputs = format!(
-            "run {run}, needs {} {}, free {}, waited {}ms, {}",
+            "run {run}, needs {} {}, free {}, waited {}ms, ready for {}ms ({}), {}",
             reservation.processor,
             reservation.memory,
             minion.free_capacity().processor,
             context.clock.wall_ms.saturating_sub(job.accepted_ms),
+            context.clock.wall_ms.saturating_sub(group.ready_since_ms),
+            group.wait_cause.get(),
             context.shared.describe_config(now),
         );
         context.out.log("start", &task, inputs, id.to_string());
+        let ready = Millis(context.clock.wall_ms.saturating_sub(group.ready_since_ms));
+        context.out.measure(Measurement::TaskReady(group.wait_cause.get(), ready));
         let free_before = minion.free_capacity();
         minion.insert_run(
             (task.clone(), run),
--- a/crates/fleet/src/pool/ready_queue.rs
+++ b/crates/fleet/src/pool/ready_queue.rs
@@ -1,8 +1,10 @@
 //! Jobs with tasks that may start, in the order of placement.
 //!
 //! A job is ranked when it changes. The passing of time alone changes a rank only once, when
-//! the job can no longer meet its objective.
+//! the job can no longer meet its objective. Each group of ready tasks keeps the time at which it
+//! was first ranked and the reason why the last pass did not start all of it.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -11,6 +13,7 @@
 
 use super::job::OwnedJob;
 use super::placement::reservation_for;
+use crate::event::WaitCause;
 use crate::model::QueueConfig;
 
 /// Order in which jobs are placed; lower ranks come first.
@@ -38,6 +41,10 @@
     pub(super) step: u16,
     /// Resources that each task reserves.
     pub(super) reservation: Resources,
+    /// Time at which the group was first ranked, in milliseconds since 1970.
+    pub(super) ready_since_ms: u64,
+    /// What prevented further starts in the last pass.
+    pub(super) wait_cause: Cell<WaitCause>,
 }
 
 /// Job with tasks that may start.
@@ -65,23 +72,26 @@
         self.jobs.iter().map(|((_, job), ready)| (job, ready))
     }
 
-    /// Removes a job, if it is in the queue.
-    pub(super) fn remove(&mut self, job: &JobId) {
-        let Some(rank) = self.ranks.remove(job) else { return };
+    /// Removes and returns a job, if it is in the queue.
+    pub(super) fn remove(&mut self, job: &JobId) -> Option<ReadyJob> {
+        let rank = self.ranks.remove(job)?;
         self.on_time.remove(&(rank.latest_start_ms, job.clone()));
-        self.jobs.remove(&(rank, job.clone()));
+        self.jobs.remove(&(rank, job.clone()))
     }
 
-    /// Adds a job whose ready tasks are to be placed.
+    /// Adds a job whose ready tasks are to be placed. `previous` is the job as it was in the
+    /// queue before it changed.
     pub(super) fn insert(
         &mut self,
         job: JobId,
         owned: &OwnedJob,
+        previous: Option<ReadyJob>,
         queue: Option<&QueueConfig>,
         wall_ms: u64,
     ) {
         let max_attempts = queue.map_or(u32::MAX, |queue| queue.max_attempts);
-        let groups = list_ready_groups(owned, max_attempts);
+        let previous_groups = previous.map(|ready| ready.groups).unwrap_or_default();
+        let groups = list_ready_groups(owned, max_attempts, &previous_groups, wall_ms);
         if groups.is_empty() {
             return;
         }
@@ -112,14 +122,28 @@
 }
 
 /// Lists a job's groups of ready tasks with at least one task that has attempts left.
-fn list_ready_groups(owned: &OwnedJob, max_attempts: u32) -> Box<[ReadyGroup]> {
+fn list_ready_groups(
+    owned: &OwnedJob,
+    max_attempts: u32,
+    previous: &[ReadyGroup],
+    wall_ms: u64,
+) -> Box<[ReadyGroup]> {
     let to_group = |(&(occurrence, step), tasks): (&(u32, u16), &Vec<u32>)| {
         let spec = owned.spec.steps.get(usize::from(step))?;
         let may_start = |index: &u32| {
             spec.long_running || owned.has_attempts_left((occurrence, step, *index), max_attempts)
         };
-        let reservation = reservation_for(spec);
-        tasks.iter().any(may_start).then_some(ReadyGroup { occurrence, step, reservation })
+        let known =
+            previous.iter().find(|group| (group.occurrence, group.step) == (occurrence, step));
+        tasks.iter().any(may_start).then(|| ReadyGroup {
+            occurrence,
+            step,
+            reservation: reservation_for(spec),
+            ready_since_ms: known.map_or(wall_ms, |group| group.ready_since_ms),
+            wait_cause: Cell::new(
+                known.map_or(WaitCause::FirstPass, |group| group.wait_cause.get()),
+            ),
+        })
     };
     owned.ready.iter().filter_map(to_group).collect()
 }
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -14,6 +14,7 @@
 
 use super::minion::OwnedMinion;
 use super::{PoolCall, PoolOwner, StepContext};
+use crate::event::Measurement;
 use crate::io::{ItemValue, PutValue, StoreAnswer, StoreCall, StoreCommit, StoreItem, StorePut};
 use crate::key::{OwnKey, StoreKey};
 use crate::records::{PoolRoster, RosterRow, decode, encode};
@@ -209,7 +210,7 @@
         self.save.next_commit_at = context.clock.now + MIN_SAVE_INTERVAL;
         match answer {
             StoreAnswer::Committed(revision) => {
-                self.apply_commit(context.clock.now, in_flight, revision);
+                self.apply_commit(context, in_flight, revision);
             }
             StoreAnswer::Conflict(items) => {
                 let inputs = format!("{} jobs, unexpected record revisions", in_flight.jobs.len());
@@ -227,7 +228,13 @@
 
     /// Records the new revisions of a successful commit, and drops jobs whose records it
     /// removed.
-    fn apply_commit(&mut self, now: Moment, in_flight: InFlightSave, revision: Revision) {
+    fn apply_commit(
+        &mut self,
+        context: &mut StepContext,
+        in_flight: InFlightSave,
+        revision: Revision,
+    ) {
+        let now = context.clock.now;
         for (name, saved) in in_flight.jobs {
             let Some(job) = self.jobs.get_mut(&name) else { continue };
             if saved.has_phase {
@@ -255,7 +262,9 @@
             }
             if row.saved_end > minion.saved_end {
                 minion.saved_end = row.saved_end;
-                minion.unsaved_ends.remove_saved(row.saved_end);
+                for processed_at in minion.unsaved_ends.remove_saved(row.saved_end) {
+                    context.out.measure(Measurement::EndSaved(now - processed_at));
+                }
                 self.hold_queue.add(&id);
             }
         }
--- a/crates/fleet/src/pool/unsaved.rs
+++ b/crates/fleet/src/pool/unsaved.rs
@@ -6,18 +6,26 @@
 
 use std::collections::VecDeque;
 
-use state::JobId;
+use state::{JobId, Moment};
 
 /// Processed finished runs that are not saved, in the order of their numbers.
 #[derive(Debug, Default)]
 pub(super) struct UnsavedEnds {
-    ends: VecDeque<(u64, JobId)>,
+    ends: VecDeque<UnsavedEnd>,
+}
+
+/// Finished run that was processed and is not saved yet.
+#[derive(Debug)]
+struct UnsavedEnd {
+    number: u64,
+    job: JobId,
+    processed_at: Moment,
 }
 
 impl UnsavedEnds {
     /// Adds the finished run with the next higher number.
-    pub(super) fn push(&mut self, number: u64, job: JobId) {
-        self.ends.push_back((number, job));
+    pub(super) fn push(&mut self, number: u64, job: JobId, processed_at: Moment) {
+        self.ends.push_back(UnsavedEnd { number, job, processed_at });
     }
 
     /// Returns the first finished run whose job has unsaved changes.
@@ -25,13 +33,12 @@
         &self,
         has_unsaved_changes: impl Fn(&JobId) -> bool,
     ) -> Option<u64> {
-        self.ends.iter().find(|(_, job)| has_unsaved_changes(job)).map(|(number, _)| *number)
+        self.ends.iter().find(|end| has_unsaved_changes(&end.job)).map(|end| end.number)
     }
 
-    /// Removes the finished runs up to number `saved_end`.
-    pub(super) fn remove_saved(&mut self, saved_end: u64) {
-        while self.ends.front().is_some_and(|(number, _)| *number <= saved_end) {
-            self.ends.pop_front();
-        }
+    /// Removes the finished runs up to number `saved_end`, and returns when each was processed.
+    pub(super) fn remove_saved(&mut self, saved_end: u64) -> impl Iterator<Item = Moment> {
+        let count = self.ends.partition_point(|end| end.number <= saved_end);
+        self.ends.drain(..count).map(|end| end.processed_at)
     }
 }
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -19,7 +19,7 @@
 use fleet::model::{DaemonCapacity, FleetConfig, FleetSettings, LinkRate, MinionReport, WaveOrder};
 use fleet::{
     CallId, ClientAction, ClientAnswer, ClientCall, ClientTarget, Clock, DecisionLine, Effect,
-    Event, FleetCore, KeyScope, ReplyToken, StoreKey,
+    Event, FleetCore, KeyScope, Measurement, ReplyToken, StoreKey,
 };
 use jobs::{JobSpec, TaskName};
 use rand::rngs::StdRng;
@@ -218,6 +218,8 @@
     pub event_count: u64,
     /// Decisions about pools, each with its virtual time and its daemon.
     pub pool_decisions: Vec<(u64, usize, DecisionLine)>,
+    /// Durations that the daemons have measured, each with its virtual time.
+    pub measurements: Vec<(u64, Measurement)>,
     /// Decisions to start a task, to move a VM, or to stop a task because its VM drains, each with
     /// its daemon.
     pub order_decisions: Vec<(usize, DecisionLine)>,
@@ -261,6 +263,7 @@
             refused_count: 0,
             event_count: 0,
             pool_decisions: Vec::new(),
+            measurements: Vec::new(),
             order_decisions: Vec::new(),
             read_pages: Vec::new(),
             messages: BTreeMap::new(),
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -167,7 +167,7 @@
     /// Carries out an effect of a daemon, with a random delay and the active faults.
     pub(super) fn apply_effect(&mut self, daemon: usize, incarnation: u64, effect: Effect) {
         // Other effects draw no delay, so that another log line does not change the rest of a run.
-        let is_call = !matches!(effect, Effect::Log(_) | Effect::Reply(..));
+        let is_call = !matches!(effect, Effect::Log(_) | Effect::Measure(_) | Effect::Reply(..));
         let delay = if is_call { self.rng.random_range(1..4) } else { 0 };
         match effect {
             Effect::Reply(reply_token, answer) => self.handle_reply(reply_token, answer),
@@ -225,6 +225,7 @@
                     _ => {}
                 }
             }
+            Effect::Measure(measurement) => self.measurements.push((self.now, measurement)),
             Effect::Stopped => self.kill_daemon(daemon),
         }
     }
