Saves keep up with the finished runs of a full pool

Cause: one commit at a time held seven jobs or so (three rows of 32 for each progress) and the next followed 15 ms after its answer, so an owner saved 440 to 830 finished runs a second while its pool finished more. Saves fell 1.5 s behind; a minion with unsaved finished runs is asked once a second only, so the owner learnt of free capacity a second late. Change: a commit that replaces the roster is ordered by the roster's revision, so progress needs one row; commits follow at once while changes are left.

--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -1,17 +1,24 @@
 //! Saves progress and phases, with the changes of several jobs in one commit.
 //!
-//! Each commit expects the pool's ownership record, so that a former owner cannot write,
-//! and the revision of each record that it changes, so that a commit that is carried out
-//! late changes nothing. The roster holds the number of the last saved finished run of each
-//! minion. Each commit also advances these numbers as far as the jobs of the finished runs
-//! are saved, so that minions drop their finished runs even while more jobs change than a
-//! commit holds.
+//! Each commit expects the pool's ownership record, so that a former owner cannot write. A commit
+//! that is carried out late must change nothing. The roster, which only this owner writes, gives
+//! the commits that replace it one order: a commit that expects the roster's revision needs no
+//! further expectation for progress, which nobody else writes either. After a commit without a
+//! known result the next one replaces the roster too. A commit without the roster expects the
+//! revision of each record that it changes. Outcomes, which other daemons change as well, are
+//! always written by their revision.
+//!
+//! The roster holds the number of the last saved finished run of each minion. Each commit also
+//! advances these numbers as far as the jobs of the finished runs are saved, so that minions drop
+//! their finished runs even while more jobs change than a commit holds. Commits then follow each
+//! other at once.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use jobs::{JobOutcome, JobPhase};
-use state::{JobId, MinionId, Moment, Revision};
+use state::{JobId, Millis, MinionId, Moment, Revision};
 
+use super::job::OwnedJob;
 use super::minion::OwnedMinion;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::event::Measurement;
@@ -20,12 +27,8 @@
 use crate::records::{PoolRoster, RosterRow, decode, encode};
 use crate::timing::{COMMIT_RETRY_DELAY, MAX_COMMIT_ROWS, MIN_SAVE_INTERVAL};
 
-/// Rows of a commit for the ownership record and the roster.
-const OWNER_AND_ROSTER_ROWS: usize = 3;
-/// Maximum number of rows of a commit for one job.
-const MAX_ROWS_PER_JOB: usize = 5;
-/// Maximum number of jobs whose changes one commit saves.
-const MAX_JOBS_PER_COMMIT: usize = MAX_COMMIT_ROWS / 2;
+/// Rows of a commit for the roster.
+const ROSTER_ROWS: usize = 2;
 /// Number of removed jobs that are remembered, so that a late watch answer does not
 /// register them again.
 const MAX_REMEMBERED_REMOVALS: usize = 10_000;
@@ -36,6 +39,34 @@
     has_progress: bool,
     has_phase: bool,
     is_removed: bool,
+    /// Whether the commit expects the revision of the outcome.
+    expects_outcome: bool,
+    /// Whether the commit expects the revision of the progress.
+    expects_progress: bool,
+}
+
+impl SavedJob {
+    /// Chooses the records of `job` that a commit writes now. `has_roster` tells whether the commit
+    /// replaces the roster.
+    fn new(job: &OwnedJob, now: Moment, has_roster: bool) -> Self {
+        let is_removed = job.is_finished();
+        let has_progress = job.is_progress_dirty && !is_removed;
+        let has_phase = job.is_phase_due(now);
+        Self {
+            has_progress,
+            has_phase,
+            is_removed,
+            expects_outcome: has_phase || is_removed || !has_roster,
+            expects_progress: has_progress && !has_roster,
+        }
+    }
+
+    /// Returns the maximum number of rows of the commit for the job.
+    fn rows(self) -> usize {
+        let removed_rows = if self.is_removed { 2 } else { 0 };
+        let rows = [self.has_progress, self.has_phase, self.expects_outcome, self.expects_progress];
+        rows.into_iter().filter(|is_row| *is_row).count() + removed_rows
+    }
 }
 
 /// A commit that is not answered yet.
@@ -60,6 +91,8 @@
     pub(super) has_new_ends: bool,
     /// Job that was added last to a commit; the next commit continues after it.
     last_saved: Option<JobId>,
+    /// Whether the last commit had no room for all changes.
+    is_behind: bool,
     /// Jobs whose records were removed.
     removed: BTreeSet<JobId>,
     /// Removed jobs, oldest first.
@@ -110,23 +143,30 @@
             return;
         }
         let last_saved = self.save.last_saved.as_ref();
-        let dirty = self.jobs.jobs_to_save(context.clock.now, MAX_JOBS_PER_COMMIT, last_saved);
+        // A job takes a row at least.
+        let dirty = self.jobs.jobs_to_save(context.clock.now, MAX_COMMIT_ROWS, last_saved);
         self.work.add(dirty.len());
-        if dirty.is_empty() && !self.save.is_roster_dirty && !self.save.has_new_ends {
+        let has_roster = self.save.is_roster_dirty || self.save.has_new_ends;
+        if dirty.is_empty() && !has_roster {
             return;
         }
         let mut commit = StoreCommit::default();
         let mut in_flight = InFlightSave { jobs: BTreeMap::new(), roster: None };
         commit.expect.push((self.owner_key(), self.fencing_token));
+        let max_rows = if has_roster { MAX_COMMIT_ROWS - ROSTER_ROWS } else { MAX_COMMIT_ROWS };
+        self.save.is_behind = false;
         for job in dirty {
-            if commit.rows() + MAX_ROWS_PER_JOB + OWNER_AND_ROSTER_ROWS > MAX_COMMIT_ROWS {
+            let Some(known) = self.jobs.get(&job) else { continue };
+            let saved = SavedJob::new(known, context.clock.now, has_roster);
+            if commit.rows() + saved.rows() > max_rows {
+                self.save.is_behind = true;
                 break;
             }
-            let saved = self.add_job_writes(context.clock.now, &mut commit, &job);
+            self.add_job_writes(&mut commit, &job, saved);
             self.save.last_saved = Some(job.clone());
             in_flight.jobs.insert(job, saved);
         }
-        if self.save.is_roster_dirty || self.save.has_new_ends {
+        if has_roster {
             let roster = self.build_roster();
             let key = self.pool_key(OwnKey::Roster);
             commit.expect.push((key.clone(), self.save.roster_revision));
@@ -172,28 +212,24 @@
     }
 
     /// Adds the changes of a job to a commit and clears the job's dirty marks.
-    fn add_job_writes(&mut self, now: Moment, commit: &mut StoreCommit, name: &JobId) -> SavedJob {
+    fn add_job_writes(&mut self, commit: &mut StoreCommit, name: &JobId, saved: SavedJob) {
         let (job_key, progress_key, outcome_key) = self.job_keys(name);
-        let Some(job) = self.jobs.get_mut(name) else {
-            return SavedJob { has_progress: false, has_phase: false, is_removed: false };
-        };
-        let is_removed = job.is_finished();
-        let saved = SavedJob {
-            has_progress: job.is_progress_dirty && !is_removed,
-            has_phase: job.is_phase_due(now),
-            is_removed,
-        };
-        commit.expect.push((outcome_key.clone(), job.outcome_revision));
+        let Some(job) = self.jobs.get_mut(name) else { return };
+        if saved.expects_outcome {
+            commit.expect.push((outcome_key.clone(), job.outcome_revision));
+        }
+        if saved.expects_progress {
+            commit.expect.push((progress_key.clone(), job.progress_revision));
+        }
         if saved.has_phase {
             let outcome = JobOutcome { phase: job.phase, queue: job.queue.clone() };
             let value = PutValue::Own(encode(&outcome));
             commit.puts.push(StorePut { key: outcome_key, value, lease: None });
         }
         if saved.has_progress {
-            commit.expect.push((progress_key.clone(), job.progress_revision));
             let value = PutValue::Own(encode(&job.progress_record()));
             commit.puts.push(StorePut { key: progress_key, value, lease: None });
-        } else if is_removed {
+        } else if saved.is_removed {
             commit.remove.push(job_key);
             if job.progress_revision.0 > 0 {
                 commit.remove.push(progress_key);
@@ -201,13 +237,13 @@
         }
         job.is_progress_dirty = false;
         job.is_phase_dirty &= !saved.has_phase;
-        saved
     }
 
     /// Handles the answer to a commit of changes.
     pub(super) fn on_saved(&mut self, context: &mut StepContext, answer: StoreAnswer) {
         let Some(in_flight) = self.save.in_flight.take() else { return };
-        self.save.next_commit_at = context.clock.now + MIN_SAVE_INTERVAL;
+        let interval = if self.save.is_behind { Millis(0) } else { MIN_SAVE_INTERVAL };
+        self.save.next_commit_at = context.clock.now + interval;
         match answer {
             StoreAnswer::Committed(revision) => {
                 self.apply_commit(context, in_flight, revision);
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -22,3 +22,4 @@
 mod slow_links;
 mod stalls;
 mod store;
+mod throughput;
