A line a second says what a pool's minions have free while tasks wait

Cause: 'unusable-minions' and 'constraints' did not say whether minions drain, are paused or unconfirmed, nor whether processor or memory is used up. Change: 'ready-jobs' lines, at most one a second and pool. No decision changed.

--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -10,6 +10,7 @@
 use jobs::{Resources, RunNumber, TaskName};
 use state::{Millis, Moment, TeamId};
 
+use super::pass::UnusableReason;
 use super::unsaved::UnsavedEnds;
 use crate::model::MinionReport;
 use crate::timing::{CLOCK_ERROR_PERMILLE, CONTACT_VALIDITY};
@@ -147,15 +148,17 @@
         }
     }
 
-    /// Whether tasks may be started on the minion.
-    pub(super) fn is_usable(&self, now: Moment) -> bool {
-        self.is_listed
-            && self.is_fenced
-            && self.is_in_roster
-            && !self.report.is_draining
-            && !self.is_being_drained
-            && self.clock.is_some()
-            && now >= self.starts_paused_until
+    /// Returns why no task may be started on the minion, or `None` if tasks may be started.
+    pub(super) fn unusable_reason(&self, now: Moment) -> Option<UnusableReason> {
+        if self.report.is_draining || self.is_being_drained {
+            Some(UnusableReason::Draining)
+        } else if !self.is_fenced || !self.is_in_roster || self.clock.is_none() {
+            Some(UnusableReason::Unconfirmed)
+        } else if now < self.starts_paused_until {
+            Some(UnusableReason::Paused)
+        } else {
+            None
+        }
     }
 
     /// Returns the capacity that no run reserves.
--- a/crates/fleet/src/pool/pass.rs
+++ b/crates/fleet/src/pool/pass.rs
@@ -5,7 +5,8 @@
 //! one may follow at once.
 
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 use jobs::Resources;
 use state::{Millis, MinionId, Moment};
@@ -16,6 +17,8 @@
 const CHECKS_PER_MS: u64 = 100;
 /// Maximum delay of the next pass.
 const MAX_PASS_DELAY: Millis = Millis(50);
+/// Minimum interval between two log lines about waiting tasks.
+const WAIT_LINE_INTERVAL: Millis = Millis(1_000);
 /// Number of failed searches that a pass remembers.
 const MAX_FAILED_SEARCHES: usize = 16;
 
@@ -28,6 +31,8 @@
     requested_at: Option<Moment>,
     /// Earliest time of the next pass.
     next_pass_at: Moment,
+    /// Earliest time of the next log line about waiting tasks.
+    next_line_at: Moment,
 }
 
 impl PassSchedule {
@@ -49,6 +54,16 @@
         }
     }
 
+    /// Whether a line about waiting tasks may be logged now; if so, the next one may be logged
+    /// after [`WAIT_LINE_INTERVAL`].
+    pub(super) fn take_line(&mut self, now: Moment) -> bool {
+        let is_due = now >= self.next_line_at;
+        if is_due {
+            self.next_line_at = now + WAIT_LINE_INTERVAL;
+        }
+        is_due
+    }
+
     /// Records a pass that visited `checks` jobs and minions, and returns its delay since the
     /// request.
     pub(super) fn record_pass(&mut self, now: Moment, checks: u64) -> Millis {
@@ -59,6 +74,39 @@
     }
 }
 
+/// Why a minion gets no starts at present.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum UnusableReason {
+    /// Its data centre is evacuated.
+    Evacuated,
+    /// It leaves, or its VM is being drained.
+    Draining,
+    /// It has not answered this owner, or is not in the stored roster yet.
+    Unconfirmed,
+    /// A start or hold has failed a short time ago.
+    Paused,
+}
+
+/// Number and free capacity of some minions.
+#[derive(Debug, Clone, Copy, Default)]
+struct MinionTotal {
+    minions: u64,
+    free: Resources,
+}
+
+impl MinionTotal {
+    fn add(&mut self, free: &Resources) {
+        self.minions += 1;
+        self.free = self.free.saturating_add(free);
+    }
+}
+
+impl fmt::Display for MinionTotal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} with {} {}", self.minions, self.free.processor, self.free.memory)
+    }
+}
+
 /// Free capacity of the usable minions during a pass.
 #[derive(Debug, Default)]
 pub(super) struct PassCapacity {
@@ -68,6 +116,9 @@
     largest_free: Resources,
     /// Upper bounds of the free resources of the pool's other minions.
     largest_unusable: Resources,
+    /// Usable minions with what was free at the beginning of the pass.
+    usable_total: MinionTotal,
+    unusable_totals: BTreeMap<UnusableReason, MinionTotal>,
     /// Reservations and labels for which no minion was found. Capacity only shrinks during
     /// a pass, so larger reservations with the same label find none either.
     failed_searches: Vec<(Resources, Option<Box<str>>)>,
@@ -77,12 +128,23 @@
     /// Adds a usable minion.
     pub(super) fn add_minion(&mut self, minion: MinionId, free: &Resources) {
         self.largest_free = self.largest_free.component_max(free);
+        self.usable_total.add(free);
         self.minions.insert((Reverse(free.processor.0), minion));
     }
 
     /// Notes the free capacity of a minion that gets no starts at present.
-    pub(super) fn note_unusable(&mut self, free: &Resources) {
+    pub(super) fn note_unusable(&mut self, reason: UnusableReason, free: &Resources) {
         self.largest_unusable = self.largest_unusable.component_max(free);
+        self.unusable_totals.entry(reason).or_default().add(free);
+    }
+
+    /// Describes the minions and their free capacity at the beginning of the pass.
+    pub(super) fn describe(&self) -> String {
+        let mut text = format!("usable {}", self.usable_total);
+        for (reason, total) in &self.unusable_totals {
+            text.push_str(&format!(", {reason:?} {total}"));
+        }
+        text
     }
 
     /// Returns why no minion was found for a reservation.
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -16,7 +16,7 @@
 use super::job::{LiveRun, TaskPosition, task_name};
 use super::minion::{MinionRun, OwnedMinion, RunPhase};
 use super::orders::minion_target;
-use super::pass::PassCapacity;
+use super::pass::{PassCapacity, UnusableReason};
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::event::{Measurement, WaitCause};
 use crate::io::MinionCall;
@@ -84,6 +84,11 @@
                 }
             }
         }
+        let now = context.clock.now;
+        if !queue.is_empty() && self.pass.take_line(now) {
+            let inputs = format!("{} jobs, minions: {}", queue.len(), capacity.describe());
+            context.out.log("ready-jobs", &self.pool, inputs, "visited");
+        }
         self.ready_queue = queue;
     }
 
@@ -108,14 +113,14 @@
     /// Lists the minions that may get tasks, with their free capacity.
     fn usable_capacity(&self, context: &StepContext) -> PassCapacity {
         let mut capacity = PassCapacity::default();
-        for (id, minion) in &self.minions {
+        for (id, minion) in self.minions.iter().filter(|(_, minion)| minion.is_listed) {
             self.work.add(1);
             let is_evacuated =
                 context.shared.evacuated_data_centres.contains(&minion.report.data_centre);
-            if minion.is_usable(context.clock.now) && !is_evacuated {
-                capacity.add_minion(id.clone(), &minion.free_capacity());
-            } else if minion.is_listed {
-                capacity.note_unusable(&minion.free_capacity());
+            let reason = is_evacuated.then_some(UnusableReason::Evacuated);
+            match reason.or_else(|| minion.unusable_reason(context.clock.now)) {
+                None => capacity.add_minion(id.clone(), &minion.free_capacity()),
+                Some(reason) => capacity.note_unusable(reason, &minion.free_capacity()),
             }
         }
         capacity
--- a/crates/fleet/src/pool/ready_queue.rs
+++ b/crates/fleet/src/pool/ready_queue.rs
@@ -67,6 +67,14 @@
 }
 
 impl ReadyQueue {
+    pub(super) fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
     /// Returns the jobs in the order of placement.
     pub(super) fn iter(&self) -> impl Iterator<Item = (&JobId, &ReadyJob)> {
         self.jobs.iter().map(|((_, job), ready)| (job, ready))
