A VM controller gives up its shard when a fencing token is refused

Cause: a refusal of an order for a VM because of its fencing token was read as 'not now', so the order was repeated under the same token every 300 ms for as long as the ownership record stood. Change: the refusal is a value of its own, after which the controller gives its shard up; the next owner has a higher token. The seeded runs check that no daemon repeats refused tokens, and have daemons that join and that are replaced.

--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -369,6 +369,8 @@
     Done,
     /// The VM is not up or is being drained.
     Busy,
+    /// The VM has had an order under a higher fencing token, so this one is never carried out.
+    Fenced,
     /// The order was not carried out and never will be, for this reason.
     Refused(Box<str>),
     /// The order was not carried out, but may be later.
--- a/crates/fleet/src/vm_controller/mod.rs
+++ b/crates/fleet/src/vm_controller/mod.rs
@@ -283,6 +283,13 @@
     ) {
         let now = context.clock.now;
         match (call, answer) {
+            (
+                VmControllerCall::Maintenance { vm, .. } | VmControllerCall::Move { vm, .. },
+                CloudAnswer::Fenced,
+            ) => {
+                self.log_order(context, "vm-controller", &vm, &CloudAnswer::Fenced);
+                self.is_lost = true;
+            }
             (VmControllerCall::List, CloudAnswer::Listed(vms)) => {
                 self.is_list_in_flight = false;
                 self.listed_at = Some(self.list_requested_at);
--- a/crates/fleet/tests/rules/cloud.rs
+++ b/crates/fleet/tests/rules/cloud.rs
@@ -19,11 +19,13 @@
     pub outage: Option<(u64, VmPhase)>,
     /// Daemon, fencing token and virtual time, in milliseconds, of the last order.
     last_order: Option<(usize, u64, u64)>,
+    /// Lowest fencing token that the cloud accepts.
+    raised_fence: u64,
 }
 
 impl FakeVm {
     pub fn new(pool: PoolId, minion: Option<MinionId>) -> Self {
-        Self { pool, minion, outage: None, last_order: None }
+        Self { pool, minion, outage: None, last_order: None, raised_fence: 0 }
     }
 }
 
@@ -75,6 +77,11 @@
         self.begun_maintenance.contains_key(&(wave, vm.clone()))
     }
 
+    /// Makes the cloud refuse orders for a VM under lower fencing tokens.
+    pub fn raise_fence(&mut self, vm: &VmId, fencing_token: u64) {
+        self.vms.get_mut(vm).expect("known VM").raised_fence = fencing_token;
+    }
+
     /// Brings up the VMs whose outage is over, and returns them.
     pub fn advance(&mut self, now: u64) -> Vec<VmId> {
         let mut returned = Vec::new();
@@ -128,6 +135,9 @@
         let Some(vm) = self.vms.get_mut(name) else {
             return (CloudAnswer::Refused("no such VM".into()), CloudEvent::Nothing);
         };
+        if fencing_token < vm.raised_fence {
+            return (CloudAnswer::Fenced, CloudEvent::Nothing);
+        }
         if let Some((previous_daemon, previous_token, previous_at)) = vm.last_order {
             let violates_fencing = fencing_token < previous_token
                 || (previous_daemon != daemon
--- a/crates/fleet/tests/rules/injected_fault.rs
+++ b/crates/fleet/tests/rules/injected_fault.rs
@@ -52,6 +52,10 @@
     AllKilled,
     /// Runs fail, and all daemons are down for longer than the minions' leases.
     AllDownLong,
+    /// A daemon joins, on a VM that was not there before.
+    AddedDaemons,
+    /// A daemon that owns a shard is gone for good, and another one joins later.
+    ReplacedDaemons,
     /// A maintenance wave, and single faults drawn at random.
     Mixed,
 }
@@ -74,6 +78,14 @@
     InjectedFault::AllKilled,
 ];
 
+/// Returns the daemon that was the last to begin the ownership of a pool and is still up.
+fn find_owner(simulation: &Simulation) -> Option<usize> {
+    let mut decisions = simulation.pool_decisions.iter().rev();
+    let owned =
+        decisions.find(|(_, daemon, line)| line.outcome == "owned" && simulation.is_up(*daemon));
+    owned.map(|(_, daemon, _)| *daemon)
+}
+
 /// Injects one fault at the virtual time `at`, for some seconds, and then removes it.
 pub fn inject_fault(simulation: &mut Simulation, fault: InjectedFault, at: u64) {
     simulation.run_until(at);
@@ -86,6 +98,11 @@
     match fault {
         InjectedFault::None | InjectedFault::Mixed | InjectedFault::Wave => {}
         InjectedFault::KilledDaemons => simulation.kill_daemon(daemon),
+        InjectedFault::AddedDaemons => simulation.add_daemon(),
+        InjectedFault::ReplacedDaemons => {
+            let owner = find_owner(simulation).unwrap_or(daemon);
+            simulation.kill_daemon(owner);
+        }
         InjectedFault::FrozenDaemons => simulation.suspend_daemon(daemon, fault_duration),
         InjectedFault::StoreDown => simulation.faults.is_store_down = true,
         InjectedFault::StoreSilent => simulation.faults.is_store_silent = true,
@@ -136,6 +153,7 @@
     simulation.faults = Default::default();
     match fault {
         InjectedFault::KilledDaemons => simulation.start_daemon(daemon),
+        InjectedFault::ReplacedDaemons => simulation.add_daemon(),
         InjectedFault::DiesBetweenSaves => {
             let daemons_down: Vec<usize> =
                 (0..DAEMON_COUNT).filter(|daemon| !simulation.is_up(*daemon)).collect();
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -8,6 +8,8 @@
 mod cloud;
 mod config_rule;
 mod configuration;
+mod fence_rule;
+mod fencing;
 mod fixtures;
 mod handover;
 mod injected_fault;
--- a/crates/fleet/tests/rules/seeded_runs.rs
+++ b/crates/fleet/tests/rules/seeded_runs.rs
@@ -199,6 +199,7 @@
     }
     simulation.run_until(RUN_END_MS);
     simulation.checker.check_final_state(simulation.now);
+    assert!(!simulation.fence_rule.is_broken(), "{fault:?} seed {seed}: refused tokens are used");
     simulation
 }
 
@@ -226,6 +227,8 @@
 #[case(InjectedFault::AllDownLong)]
 #[case(InjectedFault::StoreSilent)]
 #[case(InjectedFault::SilentWatches)]
+#[case(InjectedFault::AddedDaemons)]
+#[case(InjectedFault::ReplacedDaemons)]
 fn rules_hold_under_fault(#[case] fault: InjectedFault) {
     for seed in read_seeds() {
         assert_rules_held(&run_scenario(seed, fault), fault, seed);
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -29,6 +29,7 @@
 use crate::checker::{RuleChecker, SubmittedJob, Violation};
 use crate::cloud::{CloudEvent, FakeCloud, FakeVm};
 use crate::config_rule::CONFIG_APPLY_MS;
+use crate::fence_rule::FenceRule;
 use crate::minion::{FakeMinion, MinionEvent};
 use crate::store::{MemoryStore, encoded_bytes};
 use operator::Operator;
@@ -203,6 +204,7 @@
     pub daemons: Vec<Daemon>,
     pub config: FleetConfig,
     pub checker: RuleChecker,
+    pub fence_rule: FenceRule,
     pub operator: Operator,
     pub faults: ActiveFaults,
     /// Processor time that events cost; `None` if steps take no time.
@@ -255,6 +257,7 @@
             daemons: Vec::new(),
             config: config.clone(),
             checker: RuleChecker::default(),
+            fence_rule: FenceRule::default(),
             operator: Operator::new(seed, &config),
             faults: ActiveFaults::default(),
             processor_cost: None,
@@ -279,22 +282,27 @@
             prints_trace: std::env::var_os("TRACE").is_some(),
         };
         simulation.store.put(StoreKey::Config, ItemValue::Config(config.into()), None);
-        for daemon in 0..daemons {
-            simulation.daemons.push(Daemon {
-                core: None,
-                incarnation: 0,
-                suspended_until: 0,
-                processor: Processor::default(),
-                capacity: DaemonCapacity::default(),
-                link: None,
-                link_busy_until: 0,
-                disturbed_at: 0,
-            });
-            simulation.start_daemon(daemon);
+        for _ in 0..daemons {
+            simulation.add_daemon();
         }
         simulation
     }
 
+    /// Starts a daemon on a VM that was not there before.
+    pub fn add_daemon(&mut self) {
+        self.daemons.push(Daemon {
+            core: None,
+            incarnation: 0,
+            suspended_until: 0,
+            processor: Processor::default(),
+            capacity: DaemonCapacity::default(),
+            link: None,
+            link_busy_until: 0,
+            disturbed_at: 0,
+        });
+        self.start_daemon(self.daemons.len() - 1);
+    }
+
     /// Starts a new incarnation of a daemon.
     pub fn start_daemon(&mut self, daemon: usize) {
         let daemon_state = &mut self.daemons[daemon];
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -338,6 +338,11 @@
                 self.now
             );
         }
+        let is_refused = answer == MinionAnswer::Refused(OrderRefusal::Fenced);
+        let (now, minion) = (self.now, target.minion.as_str());
+        if !is_late {
+            self.fence_rule.record_order(now, daemon, minion, fencing_token, is_refused);
+        }
         if let MinionAnswer::Refused(OrderRefusal::Malformed) = answer {
             panic!("a minion refused an order as malformed");
         }
@@ -380,6 +385,13 @@
             return self.schedule_answer(daemon, incarnation, STORE_TIMEOUT_MS, event);
         }
         let (answer, cloud_event) = self.cloud.execute(self.now, daemon, request);
+        if let CloudCall::Maintenance { vm, fencing_token, .. }
+        | CloudCall::Move { vm, fencing_token, .. } = request
+        {
+            let is_refused = answer == CloudAnswer::Fenced;
+            let now = self.now;
+            self.fence_rule.record_order(now, daemon, vm.as_str(), *fencing_token, is_refused);
+        }
         match cloud_event {
             CloudEvent::Nothing => {}
             CloudEvent::FencingViolated(description) => self.record_violation("ONE", description),
