Saves are ordered by a small record, not by the roster

Cause: each commit of progress replaced the pool's whole roster (268 rows, some 30 KB as text) to write the saved end numbers and to order the commits. Change: a record of its own (saves/POOL) orders the commits; the roster is written when minions join or leave. Saved end numbers are not written with each commit any more: a failure that a new owner is listed again is recognised by the job's uncertain failures, a finished task stays finished.

--- a/crates/fleet/src/key.rs
+++ b/crates/fleet/src/key.rs
@@ -45,6 +45,8 @@
     Progress(PoolId, JobId),
     /// Minions on which tasks of a pool may run.
     Roster(PoolId),
+    /// Number of commits that have saved changes of a pool.
+    SaveSequence(PoolId),
 }
 
 impl fmt::Display for OwnKey {
@@ -58,6 +60,7 @@
             Self::Job(pool, job) => write!(f, "job/{pool}/{job}"),
             Self::Progress(pool, job) => write!(f, "progress/{pool}/{job}"),
             Self::Roster(pool) => write!(f, "roster/{pool}"),
+            Self::SaveSequence(pool) => write!(f, "saves/{pool}"),
         }
     }
 }
@@ -77,6 +80,7 @@
             ["job", pool, job] => Some(Self::Job(pool.parse().ok()?, job.parse().ok()?)),
             ["progress", pool, job] => Some(Self::Progress(pool.parse().ok()?, job.parse().ok()?)),
             ["roster", pool] => Some(Self::Roster(pool.parse().ok()?)),
+            ["saves", pool] => Some(Self::SaveSequence(pool.parse().ok()?)),
             _ => None,
         };
         parse().ok_or(())
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -47,7 +47,7 @@
 pub use key::{KeyScope, OwnKey, ShardKey, StoreKey};
 pub use outbox::DecisionLine;
 pub use records::{
-    AllocationDoc, OwnerRecord, PoolDemand, PoolRoster, ProgressRecord, UncertainFailure,
-    WaveProgressDoc,
+    AllocationDoc, OwnerRecord, PoolDemand, PoolRoster, ProgressRecord, SaveSequence,
+    UncertainFailure, WaveProgressDoc,
 };
 pub use session::acquire_delay;
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -47,8 +47,8 @@
     /// Revision of the job's outcome in the store.
     pub(super) outcome_revision: Revision,
     pub(super) progress: JobProgress,
-    /// Revision of the job's progress in the store; 0 while no progress is stored.
-    pub(super) progress_revision: Revision,
+    /// Whether the store has, or may have, a record of the job's progress.
+    pub(super) has_stored_progress: bool,
     /// Indexes of the tasks that may start, by occurrence and step.
     pub(super) ready: BTreeMap<(u32, u16), Vec<u32>>,
     /// Run of each task that executes or may execute.
@@ -84,7 +84,7 @@
             phase,
             outcome_revision,
             progress: JobProgress::default(),
-            progress_revision: Revision(0),
+            has_stored_progress: false,
             ready: BTreeMap::new(),
             live: BTreeMap::new(),
             checkpoints: BTreeMap::new(),
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -1,6 +1,6 @@
 //! Loads a pool's records from the store and watches for new jobs.
 //!
-//! The roster and the progress records are read first, then the jobs. The jobs are
+//! The save sequence, the roster and the progress records are read first, then the jobs. The jobs are
 //! registered with their progress, and a watch reports jobs that are accepted later.
 
 use std::collections::BTreeMap;
@@ -61,7 +61,7 @@
     /// Begins to load the pool's records, one read after the other, so that the reads do not
     /// delay each other on a slow link.
     pub(super) fn begin_load(&mut self, context: &mut StepContext) {
-        self.read(context, PoolCall::LoadRoster);
+        self.read(context, PoolCall::LoadSequence);
     }
 
     /// Sends the read or watch for `call`. A range read continues after the last page that
@@ -73,6 +73,7 @@
             self.stage.waiting_since.get_or_insert(context.clock.now);
         }
         let request = match call {
+            PoolCall::LoadSequence => StoreCall::Read(StoreKey::Own(OwnKey::SaveSequence(pool))),
             PoolCall::LoadRoster => StoreCall::Read(StoreKey::Own(OwnKey::Roster(pool))),
             PoolCall::LoadProgress => StoreCall::Range { scope: KeyScope::Progress(pool), after },
             PoolCall::LoadJobs => StoreCall::Range { scope: KeyScope::Jobs(pool), after },
@@ -147,6 +148,15 @@
             self.stage.waiting_since = None;
         }
         match (call, answer) {
+            (PoolCall::LoadSequence, StoreAnswer::Absent) => {
+                self.read(context, PoolCall::LoadRoster);
+            }
+            (PoolCall::LoadSequence, StoreAnswer::Items { items, .. }) => {
+                for item in items {
+                    self.adopt_save_sequence(context, &item);
+                }
+                self.read(context, PoolCall::LoadRoster);
+            }
             (PoolCall::LoadRoster, StoreAnswer::Absent) => {
                 self.apply_roster(context, Vec::new());
             }
@@ -228,10 +238,7 @@
         for item in items {
             let ItemValue::Own(bytes) = item.value else { continue };
             match decode::<PoolRoster>(&bytes) {
-                Ok(roster) => {
-                    self.save.roster_revision = item.revision;
-                    self.stage.unconfirmed_minions = roster.minions;
-                }
+                Ok(roster) => self.stage.unconfirmed_minions = roster.minions,
                 Err(reason) => self.log_unreadable_record(context, &item.key, &reason),
             }
         }
@@ -276,7 +283,7 @@
         let (progress, progress_revision) = self.stage.progress.remove(job).unwrap_or_default();
         let mut owned = OwnedJob::new(accepted, phase, revision);
         owned.restore_progress(progress);
-        owned.progress_revision = progress_revision;
+        owned.has_stored_progress = progress_revision.0 > 0;
         owned.may_have_unknown_runs = may_have_unknown_runs;
         owned.open_steps(context.clock.wall_ms);
         let inputs = format!("revision {revision}, {phase}, {} steps", owned.spec.steps.len());
@@ -284,7 +291,12 @@
         self.jobs.insert(job.clone(), owned);
     }
 
-    fn log_unreadable_record(&self, context: &mut StepContext, key: &StoreKey, reason: &str) {
+    pub(super) fn log_unreadable_record(
+        &self,
+        context: &mut StepContext,
+        key: &StoreKey,
+        reason: &str,
+    ) {
         context.out.log("record", format!("{key:?}"), reason, "skipped");
     }
 
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -70,6 +70,8 @@
 /// Calls of a pool's owner to the store and to minions, recorded to match each answer.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum PoolCall {
+    /// Read of the number of commits that have saved changes.
+    LoadSequence,
     /// Read of the roster.
     LoadRoster,
     /// Range read of the accepted jobs.
@@ -101,7 +103,14 @@
 impl PoolCall {
     /// Whether the call only reads from the store.
     pub(crate) fn is_read(&self) -> bool {
-        matches!(self, Self::LoadRoster | Self::LoadJobs | Self::LoadProgress | Self::WatchJobs)
+        matches!(
+            self,
+            Self::LoadSequence
+                | Self::LoadRoster
+                | Self::LoadJobs
+                | Self::LoadProgress
+                | Self::WatchJobs
+        )
     }
 }
 
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -1,17 +1,17 @@
 //! Saves progress and phases, with the changes of several jobs in one commit.
 //!
-//! Each commit expects the pool's ownership record, so that a former owner cannot write. A commit
-//! that is carried out late must change nothing. The roster, which only this owner writes, gives
-//! the commits that replace it one order: a commit that expects the roster's revision needs no
-//! further expectation for progress, which nobody else writes either. After a commit without a
-//! known result the next one replaces the roster too. A commit without the roster expects the
-//! revision of each record that it changes. Outcomes, which other daemons change as well, are
-//! always written by their revision.
+//! Each commit expects the pool's ownership record, so that a former owner cannot write, and
+//! replaces the save sequence, a small record that only the pool's owners write. The commits of
+//! an owner therefore take effect in the order in which they are sent, and one that is carried out
+//! after a later one changes nothing. Progress, which nobody else writes either, needs no further
+//! expectation. Outcomes, which other daemons change as well, are written and removed by their
+//! revision.
 //!
-//! The roster holds the number of the last saved finished run of each minion. Each commit also
-//! advances these numbers as far as the jobs of the finished runs are saved, so that minions drop
-//! their finished runs even while more jobs change than a commit holds. Commits then follow each
-//! other at once.
+//! While more jobs change than a commit holds, the commits follow each other at once. After each
+//! of them the minions may drop the finished runs whose jobs are saved, whatever other jobs wait.
+//! The number of the last of them is not written with each commit: a new owner recognises a
+//! failure that it is listed again by the job's uncertain failures, and a finished task stays
+//! finished.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -24,11 +24,11 @@
 use crate::event::Measurement;
 use crate::io::{ItemValue, PutValue, StoreAnswer, StoreCall, StoreCommit, StoreItem, StorePut};
 use crate::key::{OwnKey, StoreKey};
-use crate::records::{PoolRoster, RosterRow, decode, encode};
+use crate::records::{PoolRoster, RosterRow, SaveSequence, decode, encode};
 use crate::timing::{COMMIT_RETRY_DELAY, MAX_COMMIT_ROWS, MIN_SAVE_INTERVAL};
 
 /// Rows of a commit for the roster.
-const ROSTER_ROWS: usize = 2;
+const ROSTER_ROWS: usize = 1;
 /// Number of removed jobs that are remembered, so that a late watch answer does not
 /// register them again.
 const MAX_REMEMBERED_REMOVALS: usize = 10_000;
@@ -39,32 +39,28 @@
     has_progress: bool,
     has_phase: bool,
     is_removed: bool,
-    /// Whether the commit expects the revision of the outcome.
-    expects_outcome: bool,
-    /// Whether the commit expects the revision of the progress.
-    expects_progress: bool,
 }
 
 impl SavedJob {
-    /// Chooses the records of `job` that a commit writes now. `has_roster` tells whether the commit
-    /// replaces the roster.
-    fn new(job: &OwnedJob, now: Moment, has_roster: bool) -> Self {
+    /// Chooses the records of `job` that a commit writes now.
+    fn new(job: &OwnedJob, now: Moment) -> Self {
         let is_removed = job.is_finished();
-        let has_progress = job.is_progress_dirty && !is_removed;
-        let has_phase = job.is_phase_due(now);
         Self {
-            has_progress,
-            has_phase,
+            has_progress: job.is_progress_dirty && !is_removed,
+            has_phase: job.is_phase_due(now),
             is_removed,
-            expects_outcome: has_phase || is_removed || !has_roster,
-            expects_progress: has_progress && !has_roster,
         }
     }
 
+    /// Whether the commit expects the revision of the outcome.
+    fn expects_outcome(self) -> bool {
+        self.has_phase || self.is_removed
+    }
+
     /// Returns the maximum number of rows of the commit for the job.
     fn rows(self) -> usize {
         let removed_rows = if self.is_removed { 2 } else { 0 };
-        let rows = [self.has_progress, self.has_phase, self.expects_outcome, self.expects_progress];
+        let rows = [self.has_progress, self.has_phase, self.expects_outcome()];
         rows.into_iter().filter(|is_row| *is_row).count() + removed_rows
     }
 }
@@ -73,8 +69,11 @@
 #[derive(Debug)]
 struct InFlightSave {
     jobs: BTreeMap<JobId, SavedJob>,
-    /// Roster that the commit writes, if it writes one.
-    roster: Option<PoolRoster>,
+    /// Incarnations of the minions in the roster that the commit writes, if it writes one.
+    roster: Option<BTreeMap<MinionId, u64>>,
+    /// Incarnation and largest number of a finished run that is saved after the commit, for each
+    /// minion with finished runs that were not saved before.
+    saved_ends: BTreeMap<MinionId, (u64, u64)>,
 }
 
 /// State of saving: the commit in flight and the changes that wait for the next one.
@@ -83,11 +82,12 @@
     in_flight: Option<InFlightSave>,
     /// Earliest time of the next commit.
     next_commit_at: Moment,
-    /// Revision of the roster in the store.
-    pub(super) roster_revision: Revision,
+    sequence: SaveSequence,
+    /// Revision of the save sequence in the store; 0 if it is absent.
+    sequence_revision: Revision,
     /// Whether minions were added to or removed from the roster.
     pub(super) is_roster_dirty: bool,
-    /// Whether finished runs were processed that the stored roster does not cover.
+    /// Whether finished runs were processed that are not saved.
     pub(super) has_new_ends: bool,
     /// Job that was added last to a commit; the next commit continues after it.
     last_saved: Option<JobId>,
@@ -146,42 +146,80 @@
         // A job takes a row at least.
         let dirty = self.jobs.jobs_to_save(context.clock.now, MAX_COMMIT_ROWS, last_saved);
         self.work.add(dirty.len());
-        let has_roster = self.save.is_roster_dirty || self.save.has_new_ends;
-        if dirty.is_empty() && !has_roster {
-            return;
+        if dirty.is_empty() && !self.save.is_roster_dirty {
+            return self.release_saved_ends(context);
         }
         let mut commit = StoreCommit::default();
-        let mut in_flight = InFlightSave { jobs: BTreeMap::new(), roster: None };
         commit.expect.push((self.owner_key(), self.fencing_token));
+        self.add_sequence(&mut commit);
+        let roster = std::mem::take(&mut self.save.is_roster_dirty).then(|| self.build_roster());
+        let jobs = self.add_jobs(context.clock.now, &mut commit, dirty, roster.is_some());
+        let saved_ends = self.list_saveable_ends();
+        let to_incarnations = |roster: &PoolRoster| {
+            let rows = roster.minions.iter();
+            rows.map(|(id, row)| (id.clone(), row.minion_incarnation)).collect()
+        };
+        let incarnations = roster.as_ref().map(to_incarnations);
+        if let Some(roster) = roster {
+            let (key, value) = (self.pool_key(OwnKey::Roster), PutValue::Own(encode(&roster)));
+            commit.puts.push(StorePut { key, value, lease: None });
+        }
+        self.save.in_flight = Some(InFlightSave { jobs, roster: incarnations, saved_ends });
+        let purpose = self.purpose(PoolCall::Save);
+        context.out.call_store(context.clock, purpose, StoreCall::Commit(commit));
+    }
+
+    /// Adds the replacement of the save sequence to a commit.
+    fn add_sequence(&mut self, commit: &mut StoreCommit) {
+        self.save.sequence.commits += 1;
+        let key = self.pool_key(OwnKey::SaveSequence);
+        let value = PutValue::Own(encode(&self.save.sequence));
+        commit.expect.push((key.clone(), self.save.sequence_revision));
+        commit.puts.push(StorePut { key, value, lease: None });
+    }
+
+    /// Adds as many of the changed jobs to a commit as fit beside the roster, if the commit writes
+    /// it, and returns what is written of them.
+    fn add_jobs(
+        &mut self,
+        now: Moment,
+        commit: &mut StoreCommit,
+        dirty: Vec<JobId>,
+        has_roster: bool,
+    ) -> BTreeMap<JobId, SavedJob> {
         let max_rows = if has_roster { MAX_COMMIT_ROWS - ROSTER_ROWS } else { MAX_COMMIT_ROWS };
+        let mut jobs = BTreeMap::new();
         self.save.is_behind = false;
         for job in dirty {
             let Some(known) = self.jobs.get(&job) else { continue };
-            let saved = SavedJob::new(known, context.clock.now, has_roster);
+            let saved = SavedJob::new(known, now);
             if commit.rows() + saved.rows() > max_rows {
                 self.save.is_behind = true;
                 break;
             }
-            self.add_job_writes(&mut commit, &job, saved);
+            self.add_job_writes(commit, &job, saved);
             self.save.last_saved = Some(job.clone());
-            in_flight.jobs.insert(job, saved);
+            jobs.insert(job, saved);
         }
-        if has_roster {
-            let roster = self.build_roster();
-            let key = self.pool_key(OwnKey::Roster);
-            commit.expect.push((key.clone(), self.save.roster_revision));
-            let value = PutValue::Own(encode(&roster));
-            commit.puts.push(StorePut { key, value, lease: None });
-            in_flight.roster = Some(roster);
-            self.save.is_roster_dirty = false;
-            self.save.has_new_ends = self
-                .minions
-                .values()
-                .any(|minion| self.saveable_end(minion) < minion.processed_end);
+        jobs
+    }
+
+    /// Lists the minions with finished runs that the commit that is being built saves.
+    fn list_saveable_ends(&self) -> BTreeMap<MinionId, (u64, u64)> {
+        self.work.add(self.minions.len());
+        let unsaved = self.minions.iter().filter(|(_, minion)| !minion.unsaved_ends.is_empty());
+        let to_end = |(id, minion): (&MinionId, &OwnedMinion)| {
+            (id.clone(), (minion.report.minion_incarnation, self.saveable_end(minion)))
+        };
+        unsaved.map(to_end).collect()
+    }
+
+    /// Lets the minions drop the finished runs of jobs without unsaved changes.
+    fn release_saved_ends(&mut self, context: &mut StepContext) {
+        if self.save.has_new_ends {
+            let saved_ends = self.list_saveable_ends();
+            self.apply_saved_ends(context, saved_ends);
         }
-        self.save.in_flight = Some(in_flight);
-        let purpose = self.purpose(PoolCall::Save);
-        context.out.call_store(context.clock, purpose, StoreCall::Commit(commit));
     }
 
     /// Builds the roster: minions that have answered this owner, and minions of the stored
@@ -215,12 +253,9 @@
     fn add_job_writes(&mut self, commit: &mut StoreCommit, name: &JobId, saved: SavedJob) {
         let (job_key, progress_key, outcome_key) = self.job_keys(name);
         let Some(job) = self.jobs.get_mut(name) else { return };
-        if saved.expects_outcome {
+        if saved.expects_outcome() {
             commit.expect.push((outcome_key.clone(), job.outcome_revision));
         }
-        if saved.expects_progress {
-            commit.expect.push((progress_key.clone(), job.progress_revision));
-        }
         if saved.has_phase {
             let outcome = JobOutcome { phase: job.phase, queue: job.queue.clone() };
             let value = PutValue::Own(encode(&outcome));
@@ -229,9 +264,10 @@
         if saved.has_progress {
             let value = PutValue::Own(encode(&job.progress_record()));
             commit.puts.push(StorePut { key: progress_key, value, lease: None });
+            job.has_stored_progress = true;
         } else if saved.is_removed {
             commit.remove.push(job_key);
-            if job.progress_revision.0 > 0 {
+            if job.has_stored_progress {
                 commit.remove.push(progress_key);
             }
         }
@@ -276,34 +312,44 @@
             if saved.has_phase {
                 job.outcome_revision = revision;
             }
-            if saved.has_progress {
-                job.progress_revision = revision;
-            }
             if saved.is_removed {
                 self.jobs.remove(&name);
                 self.record_ended(now, name.clone());
                 self.save.remember_removed(name);
             }
         }
-        let Some(roster) = in_flight.roster else { return };
-        self.save.roster_revision = revision;
-        for (id, row) in roster.minions {
+        self.save.sequence_revision = revision;
+        self.apply_saved_ends(context, in_flight.saved_ends);
+        for (id, incarnation) in in_flight.roster.unwrap_or_default() {
             let Some(minion) = self.minions.get_mut(&id) else { continue };
-            if minion.report.minion_incarnation != row.minion_incarnation {
-                continue;
-            }
-            if !minion.is_in_roster {
+            if minion.report.minion_incarnation == incarnation && !minion.is_in_roster {
                 minion.is_in_roster = true;
                 self.pass.request();
             }
-            if row.saved_end > minion.saved_end {
-                minion.saved_end = row.saved_end;
-                for processed_at in minion.unsaved_ends.remove_saved(row.saved_end) {
-                    context.out.measure(Measurement::EndSaved(now - processed_at));
-                }
-                self.hold_queue.add(&id);
+        }
+    }
+
+    /// Records which finished runs of each minion are saved, by incarnation and number, so that the
+    /// next hold lets the minion drop them.
+    fn apply_saved_ends(
+        &mut self,
+        context: &mut StepContext,
+        saved_ends: BTreeMap<MinionId, (u64, u64)>,
+    ) {
+        let now = context.clock.now;
+        for (id, (incarnation, saved_end)) in saved_ends {
+            let Some(minion) = self.minions.get_mut(&id) else { continue };
+            if minion.report.minion_incarnation != incarnation || saved_end <= minion.saved_end {
+                continue;
             }
+            minion.saved_end = saved_end;
+            for processed_at in minion.unsaved_ends.remove_saved(saved_end) {
+                context.out.measure(Measurement::EndSaved(now - processed_at));
+            }
+            self.hold_queue.add(&id);
         }
+        let mut minions = self.minions.values();
+        self.save.has_new_ends = minions.any(|minion| !minion.unsaved_ends.is_empty());
     }
 
     /// Marks everything in a commit as unsaved again, since the commit failed or its result
@@ -315,10 +361,7 @@
             job.is_progress_dirty |= saved.has_progress || saved.is_removed;
             job.is_phase_dirty |= saved.has_phase;
         }
-        if in_flight.roster.is_some() {
-            self.save.is_roster_dirty = true;
-            self.save.has_new_ends = true;
-        }
+        self.save.is_roster_dirty |= in_flight.roster.is_some();
     }
 
     /// Adopts the store's revisions after a conflict. The pool is lost if the ownership
@@ -351,17 +394,23 @@
                         }
                     }
                 }
-                StoreKey::Own(OwnKey::Progress(_, job)) => {
-                    if let Some(job) = self.jobs.get_mut(job) {
-                        job.progress_revision = item.revision;
-                    }
-                }
-                StoreKey::Own(OwnKey::Roster(_)) => self.save.roster_revision = item.revision,
+                StoreKey::Own(OwnKey::SaveSequence(_)) => self.adopt_save_sequence(context, &item),
                 _ => {}
             }
         }
     }
 
+    /// Adopts the save sequence that the store has, also one that cannot be read: the next commit
+    /// replaces it.
+    pub(super) fn adopt_save_sequence(&mut self, context: &mut StepContext, item: &StoreItem) {
+        self.save.sequence_revision = item.revision;
+        let ItemValue::Own(bytes) = &item.value else { return };
+        match decode(bytes) {
+            Ok(sequence) => self.save.sequence = sequence,
+            Err(reason) => self.log_unreadable_record(context, &item.key, &reason),
+        }
+    }
+
     /// Handles an unexpected outcome in the store: either a submitter has cancelled the
     /// job, or an earlier commit of this owner took effect although its answer was lost.
     fn adopt_saved_outcome(
--- a/crates/fleet/src/pool/unsaved.rs
+++ b/crates/fleet/src/pool/unsaved.rs
@@ -28,6 +28,10 @@
         self.ends.push_back(UnsavedEnd { number, job, processed_at });
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
     /// Returns the first finished run whose job has unsaved changes.
     pub(super) fn first_blocked(
         &self,
--- a/crates/fleet/src/records.rs
+++ b/crates/fleet/src/records.rs
@@ -25,7 +25,8 @@
     /// Start time of this incarnation of the minion, in milliseconds since 1970.
     #[serde(rename = "born")]
     pub minion_incarnation: u64,
-    /// Finished runs up to this number are saved in the jobs' progress.
+    /// Finished runs up to this number were saved in the jobs' progress when the roster was
+    /// written.
     #[serde(rename = "noted")]
     pub saved_end: u64,
 }
@@ -64,6 +65,14 @@
     pub minions: BTreeMap<MinionId, RosterRow>,
 }
 
+/// Number of commits that have saved changes of a pool. Each of them replaces this record, so they
+/// take effect in one order, and one that is carried out late takes none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct SaveSequence {
+    /// Number of commits, over all owners of the pool.
+    pub commits: u64,
+}
+
 /// Quota allocation of one pool: its part of a team's limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct PoolAllocation {
