The time from a save to its answer is measured

Cause: saves stayed behind at 1,500 starts a second, and nothing said whether the store, the link or the processor takes the time. Change: a histogram, and number and mean in the line 'owner load'.

--- a/crates/daemon/src/runtime/load_report.rs
+++ b/crates/daemon/src/runtime/load_report.rs
@@ -30,6 +30,8 @@
     events: u64,
     max_event_wait: Duration,
     max_pass_delay: Millis,
+    saves: u64,
+    total_save_answer: Millis,
     saved_ends: u64,
     max_end_saved: Millis,
 }
@@ -44,6 +46,10 @@
                 total.longest = total.longest.max(duration);
             }
             Measurement::PassDelay(delay) => self.max_pass_delay = self.max_pass_delay.max(delay),
+            Measurement::SaveAnswered(duration) => {
+                self.saves += 1;
+                self.total_save_answer.0 += duration.0;
+            }
             Measurement::EndSaved(duration) => {
                 self.saved_ends += 1;
                 self.max_end_saved = self.max_end_saved.max(duration);
@@ -68,6 +74,8 @@
             period_ms = period.as_millis() as u64,
             starts = self.ready.values().map(|total| total.tasks).sum::<u64>(),
             waits = self.describe_waits(),
+            saves = self.saves,
+            mean_save_answer_ms = self.total_save_answer.0 / self.saves.max(1),
             saved_ends = self.saved_ends,
             max_end_saved_ms = self.max_end_saved.0,
             events = self.events,
--- a/crates/daemon/src/runtime/metrics.rs
+++ b/crates/daemon/src/runtime/metrics.rs
@@ -67,6 +67,7 @@
     ready_seconds: HistogramFamily,
     pass_delay_seconds: Histogram,
     end_saved_seconds: Histogram,
+    save_answer_seconds: Histogram,
     event_wait_seconds: Histogram,
     decisions: Family<KindLabel, Counter>,
     /// Decision lines dropped because the log channel was full.
@@ -156,6 +157,12 @@
                 "From the processing of a finished run until it was saved",
                 seconds(),
             ),
+            save_answer_seconds: register(
+                own,
+                "save_answer_seconds",
+                "From a commit of progress to its answer",
+                seconds(),
+            ),
             event_wait_seconds: register(
                 own,
                 "event_wait_seconds",
@@ -276,6 +283,9 @@
             Measurement::EndSaved(duration) => {
                 self.end_saved_seconds.observe(to_seconds(duration));
             }
+            Measurement::SaveAnswered(duration) => {
+                self.save_answer_seconds.observe(to_seconds(duration));
+            }
         }
     }
 
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -173,6 +173,8 @@
     PassDelay(Millis),
     /// Time from the processing of a finished run until it was saved.
     EndSaved(Millis),
+    /// Time from a commit of progress to its answer.
+    SaveAnswered(Millis),
 }
 
 /// Effect that the caller of the state machine carries out.
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -74,6 +74,7 @@
     /// Incarnation and largest number of a finished run that is saved after the commit, for each
     /// minion with finished runs that were not saved before.
     saved_ends: BTreeMap<MinionId, (u64, u64)>,
+    sent_at: Moment,
 }
 
 /// State of saving: the commit in flight and the changes that wait for the next one.
@@ -164,7 +165,8 @@
             let (key, value) = (self.pool_key(OwnKey::Roster), PutValue::Own(encode(&roster)));
             commit.puts.push(StorePut { key, value, lease: None });
         }
-        self.save.in_flight = Some(InFlightSave { jobs, roster: incarnations, saved_ends });
+        let (roster, sent_at) = (incarnations, context.clock.now);
+        self.save.in_flight = Some(InFlightSave { jobs, roster, saved_ends, sent_at });
         let purpose = self.purpose(PoolCall::Save);
         context.out.call_store(context.clock, purpose, StoreCall::Commit(commit));
     }
@@ -278,6 +280,7 @@
     /// Handles the answer to a commit of changes.
     pub(super) fn on_saved(&mut self, context: &mut StepContext, answer: StoreAnswer) {
         let Some(in_flight) = self.save.in_flight.take() else { return };
+        context.out.measure(Measurement::SaveAnswered(context.clock.now - in_flight.sent_at));
         let interval = if self.save.is_behind { Millis(0) } else { MIN_SAVE_INTERVAL };
         self.save.next_commit_at = context.clock.now + interval;
         match answer {
