A pool drains as many VMs for a wave as it must to be in time

Cause: each pool emptied one VM at a time, and marked one VM in each write of the wave's record. Change: the number of VMs that drain side by side follows from the VMs and the time that are left and from the wave's limit; one write marks all that are drained. Stops of long-running tasks keep to what their step may miss as before.

--- a/crates/fleet/src/pool/maintenance.rs
+++ b/crates/fleet/src/pool/maintenance.rs
@@ -2,13 +2,17 @@
 //!
 //! One record for each wave holds which VMs are down and which are done. All pools change
 //! this record by compare-and-swap, so the bound on VMs that are down at one time holds
-//! whichever daemons own the pools. A VM is first drained: it gets no starts; checkpointing
+//! whichever daemons own the pools. A pool drains as many of its VMs side by side as it must to
+//! begin all maintenance in time, so that a large wave does not end late and a small one takes no
+//! capacity that it does not need. A VM is first drained: it gets no starts; checkpointing
 //! tasks are stopped and continue elsewhere; long-running tasks move one at a time within
 //! what their step may miss; all other tasks run to their end. Then the VM is marked as
 //! down, and the VM controller orders the maintenance.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use jobs::TaskName;
-use state::{MinionId, Moment, Revision, VmId};
+use state::{Millis, MinionId, Moment, Revision, VmId};
 
 use super::job::position_of;
 use super::minion::{OwnedMinion, RunKey, RunPhase};
@@ -19,6 +23,41 @@
 use crate::timing::{COMMIT_RETRY_DELAY, EARLIER_ORDER_MARGIN};
 use crate::vm_controller::{incomplete_waves, wave_commit, wave_progress_of};
 
+/// Time from the beginning of a drain until the VM is down, if its tasks run to their end.
+const DRAIN_DURATION: Millis = Millis(2_500);
+/// Part of the time that is left in which a pool tries to drain its VMs, in percent; the rest is
+/// for tasks that take longer.
+const PLANNED_TIME_PERCENT: u64 = 60;
+
+/// Work of this pool for one wave.
+#[derive(Debug)]
+struct PoolWave {
+    /// Time at which this owner first saw the wave.
+    seen_at: Moment,
+    /// All VMs of the wave, also those of other pools.
+    vms: BTreeSet<VmId>,
+    /// VMs that are being drained or wait to be marked as down.
+    draining_vms: BTreeSet<VmId>,
+}
+
+impl PoolWave {
+    fn new(order: &WaveOrder, now: Moment) -> Self {
+        let vms = order.vms.iter().cloned().collect();
+        Self { seen_at: now, vms, draining_vms: BTreeSet::new() }
+    }
+}
+
+/// VM of this pool whose maintenance in a wave has not begun.
+#[derive(Debug)]
+struct WaitingVm {
+    vm: VmId,
+    minion: MinionId,
+    /// Processor time that the runs on the VM reserve, in millicores.
+    load: u64,
+    /// Whether the VM can be taken down without loss.
+    is_drained: bool,
+}
+
 /// State of the maintenance of this pool's VMs.
 #[derive(Debug, Default)]
 pub(super) struct MaintenanceState {
@@ -29,8 +68,8 @@
     written_revision: Revision,
     /// Earliest time of the next write.
     next_write_at: Moment,
-    /// VM that is being drained for a wave.
-    draining_vm: Option<VmId>,
+    /// Incomplete waves by number.
+    waves: BTreeMap<u64, PoolWave>,
 }
 
 impl PoolOwner {
@@ -41,16 +80,13 @@
         }
         self.drain_leaving_minions(context);
         let incomplete = incomplete_waves(context);
-        if incomplete.is_empty() {
-            self.cancel_drain();
-            return;
-        }
+        self.cancel_drains(&incomplete);
         for order in incomplete {
             self.advance_wave(context, &order);
         }
     }
 
-    /// Marks a drained VM as down if the wave's bound allows, and drains the next VM.
+    /// Marks drained VMs as down as far as the wave's bound allows, and drains the next VMs.
     fn advance_wave(&mut self, context: &mut StepContext, order: &WaveOrder) {
         let revision = context.shared.wave_progress.get(&order.wave).map(|doc| doc.revision);
         let revision = revision.unwrap_or(Revision(0));
@@ -62,19 +98,23 @@
         }
         let doc = wave_progress_of(context, order.wave);
         let down = doc.vms.values().filter(|mark| **mark == VmMaintenance::Down).count();
-        if down < order.max_down as usize
-            && let Some(vm) = self.drained_vm(order, &doc)
-        {
-            let mut next = doc.clone();
-            next.vms.insert(vm.clone(), VmMaintenance::Down);
+        let allowed = (order.max_down as usize).saturating_sub(down);
+        let waiting = self.list_waiting_vms(context.clock.now, order, &doc);
+        let drained = waiting.iter().filter(|waiting| waiting.is_drained).take(allowed);
+        let drained: Vec<VmId> = drained.map(|waiting| waiting.vm.clone()).collect();
+        if !drained.is_empty() {
+            let mut next = doc;
+            for vm in drained {
+                let inputs = format!("wave {}, {down} of {} down", order.wave, order.max_down);
+                context.out.log("upkeep", &vm, inputs, "emptied");
+                next.vms.insert(vm, VmMaintenance::Down);
+            }
             self.maintenance.is_write_in_flight = true;
-            let inputs = format!("wave {}, {down} of {} down", order.wave, order.max_down);
-            context.out.log("upkeep", &vm, inputs, "emptied");
             let commit = wave_commit(self.owner_key(), self.fencing_token, order, revision, &next);
             let purpose = self.purpose(PoolCall::WaveCommit);
             context.out.call_store(context.clock, purpose, StoreCall::Commit(commit));
         }
-        self.drain_next_vm(context, order, &doc);
+        self.drain_next_vms(context, order, waiting, allowed);
     }
 
     /// Returns the listed minion on a VM of this pool.
@@ -84,59 +124,85 @@
         self.minions.values().find(is_on_vm)
     }
 
-    /// Finds a VM of the wave that is drained and has no mark yet.
-    fn drained_vm(&self, order: &WaveOrder, doc: &WaveProgressDoc) -> Option<VmId> {
-        let is_ready = |vm: &&VmId| {
-            !doc.vms.contains_key(*vm)
-                && self
-                    .minion_of_vm(vm)
-                    .is_some_and(|minion| minion.is_being_drained && minion.is_drained())
+    /// Lists the wave's VMs of this pool without a mark, those with the least load first.
+    fn list_waiting_vms(
+        &mut self,
+        now: Moment,
+        order: &WaveOrder,
+        doc: &WaveProgressDoc,
+    ) -> Vec<WaitingVm> {
+        let waves = &mut self.maintenance.waves;
+        let wave = waves.entry(order.wave).or_insert_with(|| PoolWave::new(order, now));
+        self.work.add(self.minions.len());
+        let to_waiting = |minion: &OwnedMinion| {
+            let vm = minion.report.vm.as_ref().filter(|_| minion.is_listed)?;
+            let is_waiting = wave.vms.contains(vm) && !doc.vms.contains_key(vm);
+            is_waiting.then(|| WaitingVm {
+                vm: vm.clone(),
+                minion: minion.report.minion.clone(),
+                load: minion.used.processor.0,
+                is_drained: minion.is_being_drained && minion.is_drained(),
+            })
         };
-        order.vms.iter().find(is_ready).cloned()
+        let mut waiting: Vec<WaitingVm> = self.minions.values().filter_map(to_waiting).collect();
+        waiting.sort_by_key(|waiting| waiting.load);
+        waiting
     }
 
-    /// Drains the wave's VM that is being drained already, or else the one with the least
-    /// load.
-    fn drain_next_vm(
+    /// Drains the waiting VMs that are being drained already, and begins with as many more as are
+    /// needed to be in time. `allowed` is the number of VMs that may still go down.
+    fn drain_next_vms(
         &mut self,
         context: &mut StepContext,
         order: &WaveOrder,
-        doc: &WaveProgressDoc,
+        waiting: Vec<WaitingVm>,
+        allowed: usize,
     ) {
-        let current = self.maintenance.draining_vm.clone().filter(|vm| {
-            order.vms.contains(vm) && !doc.vms.contains_key(vm) && self.minion_of_vm(vm).is_some()
-        });
-        let chosen = current.or_else(|| self.least_loaded_vm(order, doc));
-        self.maintenance.draining_vm = chosen.clone();
-        let Some(vm) = chosen else { return };
-        let minion = self.minion_of_vm(&vm).map(|minion| minion.report.minion.clone());
-        let Some(id) = minion else { return };
-        if let Some(minion) = self.minions.get_mut(&id)
+        let Some(wave) = self.maintenance.waves.get_mut(&order.wave) else { return };
+        wave.draining_vms.retain(|vm| waiting.iter().any(|waiting| waiting.vm == *vm));
+        let elapsed = context.clock.now - wave.seen_at;
+        let count = parallel_drains(waiting.len(), order.duration, elapsed).min(allowed.max(1));
+        for next in &waiting {
+            if wave.draining_vms.len() >= count {
+                break;
+            }
+            wave.draining_vms.insert(next.vm.clone());
+        }
+        let is_draining = |waiting: &WaitingVm| wave.draining_vms.contains(&waiting.vm);
+        let draining: Vec<WaitingVm> = waiting.into_iter().filter(is_draining).collect();
+        for WaitingVm { vm, minion, .. } in draining {
+            self.drain_vm(context, order, &vm, &minion);
+        }
+    }
+
+    /// Keeps new starts from a VM and stops what can continue elsewhere.
+    fn drain_vm(&mut self, context: &mut StepContext, order: &WaveOrder, vm: &VmId, id: &MinionId) {
+        if let Some(minion) = self.minions.get_mut(id)
             && !minion.is_being_drained
         {
             minion.is_being_drained = true;
             let inputs = format!("wave {}, {} runs", order.wave, minion.runs.len());
-            context.out.log("upkeep", &vm, inputs, "emptying");
+            context.out.log("upkeep", vm, inputs, "emptying");
         }
-        self.drain_minion(context, &id, true);
+        self.drain_minion(context, id, true);
     }
 
-    /// Finds the VM of the wave without a mark whose runs reserve the least processor time.
-    fn least_loaded_vm(&self, order: &WaveOrder, doc: &WaveProgressDoc) -> Option<VmId> {
-        let load = |vm: &&VmId| self.minion_of_vm(vm).map_or(0, |minion| minion.used.processor.0);
-        let is_unmarked =
-            |vm: &&VmId| !doc.vms.contains_key(*vm) && self.minion_of_vm(vm).is_some();
-        order.vms.iter().filter(is_unmarked).min_by_key(load).cloned()
-    }
-
-    /// Allows starts again on the VM that was being drained, since no wave is
-    /// incomplete.
-    fn cancel_drain(&mut self) {
-        let Some(vm) = self.maintenance.draining_vm.take() else { return };
-        let minion =
-            self.minions.values_mut().find(|minion| minion.report.vm.as_ref() == Some(&vm));
-        if let Some(minion) = minion {
-            minion.is_being_drained = false;
+    /// Allows starts again on the VMs that were being drained for waves that are not incomplete any
+    /// more.
+    fn cancel_drains(&mut self, incomplete: &[WaveOrder]) {
+        let is_incomplete = |wave: &u64| incomplete.iter().any(|order| order.wave == *wave);
+        let waves = std::mem::take(&mut self.maintenance.waves);
+        let (waves, ended): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            waves.into_iter().partition(|(wave, _)| is_incomplete(wave));
+        self.maintenance.waves = waves;
+        let vms: BTreeSet<VmId> = ended.into_values().flat_map(|wave| wave.draining_vms).collect();
+        if vms.is_empty() {
+            return;
+        }
+        for minion in self.minions.values_mut() {
+            if minion.report.vm.as_ref().is_some_and(|vm| vms.contains(vm)) {
+                minion.is_being_drained = false;
+            }
         }
     }
 
@@ -226,3 +292,11 @@
         }
     }
 }
+
+/// Returns how many of a pool's VMs should drain side by side so that all `waiting` ones are down
+/// within the planned part of the time that is left of `duration`.
+fn parallel_drains(waiting: usize, duration: Millis, elapsed: Millis) -> usize {
+    let remaining_ms = duration.0.saturating_sub(elapsed.0) * PLANNED_TIME_PERCENT / 100;
+    let rounds = (remaining_ms / DRAIN_DURATION.0).max(1) as usize;
+    waiting.div_ceil(rounds)
+}
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -25,3 +25,4 @@
 mod stalls;
 mod store;
 mod throughput;
+mod waves;
--- /dev/null
+++ b/crates/fleet/tests/rules/waves.rs
@@ -0,0 +1,47 @@
+//! Maintenance waves that reach most VMs of a large pool while it is busy.
+
+use fleet::model::WavePhase;
+use state::{Millicores, VmId};
+
+use crate::seeded_runs::{JobBatch, build_config, build_report, submit_batch};
+use crate::simulation::Simulation;
+
+/// Number of VMs of the pool, all of them in the wave.
+const MINIONS: usize = 60;
+/// Maximum number of VMs that may be down at one time.
+const MAX_DOWN: u32 = 20;
+/// Time at which the wave is ordered.
+const ORDERED_MS: u64 = 5_000;
+/// Duration within which the maintenance of all VMs must begin.
+const DURATION_MS: u64 = 20_000;
+
+/// Builds a simulation of one busy pool: its tasks take up to 2.5 s, and each VM has some.
+fn build_busy_simulation(seed: u64) -> Simulation {
+    let mut config = build_config();
+    for team in &mut config.teams {
+        team.limit.processor = Millicores(u64::MAX);
+    }
+    let mut simulation = Simulation::new(seed, 1, config);
+    for number in 0..MINIONS {
+        simulation.add_minion(build_report(0, number));
+    }
+    let processor = Millicores(2_000);
+    let batch = JobBatch { jobs: 1_000, tasks: 5, processor, first_delay: 2_000, interval: 30 };
+    submit_batch(&mut simulation, &batch);
+    simulation
+}
+
+/// Guards against a wave that ends late because the pool empties its VMs one by one.
+#[test]
+fn wave_of_a_large_busy_pool_is_in_time() {
+    let mut simulation = build_busy_simulation(1);
+    simulation.run_until(ORDERED_MS);
+    let vms: Vec<VmId> = simulation.cloud.vms.keys().cloned().collect();
+    simulation.order_wave(1, vms.clone(), MAX_DOWN);
+    simulation.run_until(ORDERED_MS + DURATION_MS);
+    let begun = vms.iter().filter(|vm| simulation.cloud.has_begun_maintenance(1, vm)).count();
+    assert_eq!(begun, vms.len(), "VMs whose maintenance began in time");
+    simulation.run_until(ORDERED_MS + DURATION_MS + 4_000);
+    assert_eq!(simulation.store.wave_statuses.last(), Some(&(1, WavePhase::Complete)));
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
