--- a/crates/fleet/tests/rules/seeded_runs.rs
+++ b/crates/fleet/tests/rules/seeded_runs.rs
@@ -235,6 +235,14 @@
     }
 }
 
+/// Guards against a failed run that counts although its minion crashed before it was told to drop
+/// the run.
+#[test]
+fn failure_does_not_count_if_its_minion_crashes_untold() {
+    let fault = InjectedFault::FailuresLost;
+    assert_rules_held(&run_scenario(62, fault), fault, 62);
+}
+
 /// Returns the seeds of each test case.
 pub fn read_seeds() -> std::ops::Range<u64> {
     let read_number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
