Fixtures of the runs stand once; waves follow their order's VMs

Cause: two test files had the same reports and limits; the VMs of a wave were copied when a pool first saw it, so a changed order would not be followed. Change: fixtures.rs; the set is built from the order each time. Two comments wrapped.

--- a/crates/fleet/src/pool/job_table.rs
+++ b/crates/fleet/src/pool/job_table.rs
@@ -133,8 +133,8 @@
         self.unranked.insert(job);
     }
 
-    /// Returns up to `max_jobs` jobs of a lane to be saved now. The jobs after `last_saved` come first,
-    /// so that each job has its turn while more jobs change than are saved at a time.
+    /// Returns up to `max_jobs` jobs of a lane to be saved now. The jobs after `last_saved` come
+    /// first, so that each job has its turn while more jobs change than are saved at a time.
     pub(super) fn jobs_to_save(
         &mut self,
         now: Moment,
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -1,7 +1,7 @@
 //! Loads a pool's records from the store and watches for new jobs.
 //!
-//! The save sequences, the roster and the progress records are read first, then the jobs. The jobs are
-//! registered with their progress, and a watch reports jobs that are accepted later.
+//! The save sequences, the roster and the progress records are read first, then the jobs. The jobs
+//! are registered with their progress, and a watch reports jobs that are accepted later.
 
 use std::collections::BTreeMap;
 
--- a/crates/fleet/src/pool/maintenance.rs
+++ b/crates/fleet/src/pool/maintenance.rs
@@ -34,19 +34,10 @@
 struct PoolWave {
     /// Time at which this owner first saw the wave.
     seen_at: Moment,
-    /// All VMs of the wave, also those of other pools.
-    vms: BTreeSet<VmId>,
     /// VMs that are being drained or wait to be marked as down.
     draining_vms: BTreeSet<VmId>,
 }
 
-impl PoolWave {
-    fn new(order: &WaveOrder, now: Moment) -> Self {
-        let vms = order.vms.iter().cloned().collect();
-        Self { seen_at: now, vms, draining_vms: BTreeSet::new() }
-    }
-}
-
 /// VM of this pool whose maintenance in a wave has not begun.
 #[derive(Debug)]
 struct WaitingVm {
@@ -99,7 +90,7 @@
         let doc = wave_progress_of(context, order.wave);
         let down = doc.vms.values().filter(|mark| **mark == VmMaintenance::Down).count();
         let allowed = (order.max_down as usize).saturating_sub(down);
-        let waiting = self.list_waiting_vms(context.clock.now, order, &doc);
+        let waiting = self.list_waiting_vms(order, &doc);
         let drained = waiting.iter().filter(|waiting| waiting.is_drained).take(allowed);
         let drained: Vec<VmId> = drained.map(|waiting| waiting.vm.clone()).collect();
         if !drained.is_empty() {
@@ -125,18 +116,12 @@
     }
 
     /// Lists the wave's VMs of this pool without a mark, those with the least load first.
-    fn list_waiting_vms(
-        &mut self,
-        now: Moment,
-        order: &WaveOrder,
-        doc: &WaveProgressDoc,
-    ) -> Vec<WaitingVm> {
-        let waves = &mut self.maintenance.waves;
-        let wave = waves.entry(order.wave).or_insert_with(|| PoolWave::new(order, now));
+    fn list_waiting_vms(&self, order: &WaveOrder, doc: &WaveProgressDoc) -> Vec<WaitingVm> {
         self.work.add(self.minions.len());
+        let wave_vms: BTreeSet<&VmId> = order.vms.iter().collect();
         let to_waiting = |minion: &OwnedMinion| {
             let vm = minion.report.vm.as_ref().filter(|_| minion.is_listed)?;
-            let is_waiting = wave.vms.contains(vm) && !doc.vms.contains_key(vm);
+            let is_waiting = wave_vms.contains(vm) && !doc.vms.contains_key(vm);
             is_waiting.then(|| WaitingVm {
                 vm: vm.clone(),
                 minion: minion.report.minion.clone(),
@@ -158,9 +143,11 @@
         waiting: Vec<WaitingVm>,
         allowed: usize,
     ) {
-        let Some(wave) = self.maintenance.waves.get_mut(&order.wave) else { return };
+        let now = context.clock.now;
+        let new_wave = || PoolWave { seen_at: now, draining_vms: BTreeSet::new() };
+        let wave = self.maintenance.waves.entry(order.wave).or_insert_with(new_wave);
         wave.draining_vms.retain(|vm| waiting.iter().any(|waiting| waiting.vm == *vm));
-        let elapsed = context.clock.now - wave.seen_at;
+        let elapsed = now - wave.seen_at;
         let count = parallel_drains(waiting.len(), order.duration, elapsed).min(allowed.max(1));
         for next in &waiting {
             if wave.draining_vms.len() >= count {
--- a/crates/fleet/tests/rules/fixtures.rs
+++ b/crates/fleet/tests/rules/fixtures.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use fleet::model::{FleetConfig, PoolConfig, QueueConfig, TeamConfig};
+use fleet::model::{FleetConfig, MinionReport, PoolConfig, QueueConfig, TeamConfig};
 use jobs::Resources;
-use state::{Millis, PoolId};
+use state::{AcceleratorCount, Mebibytes, Millicores, Millis, PoolId};
 
 /// Builds a configuration with pools `pool-0`, `pool-1` and so on, a queue for each of them, and
 /// the given teams.
@@ -41,3 +41,28 @@
         limit,
     }
 }
+
+/// Builds resources without accelerators.
+pub fn resources(processor: Millicores, memory: Mebibytes) -> Resources {
+    Resources { processor, memory, accelerators: AcceleratorCount(0) }
+}
+
+/// Builds the limit of a team that may use any amount of memory and accelerators.
+pub fn processor_limit(processor: Millicores) -> Resources {
+    Resources { processor, memory: Mebibytes(u32::MAX), accelerators: AcceleratorCount(u32::MAX) }
+}
+
+/// Builds the report of a minion of `pool-0` with 16 cores, for pools of up to 256 minions.
+pub fn build_report(number: usize) -> MinionReport {
+    MinionReport {
+        minion: format!("i-{number}").parse().expect("valid name"),
+        minion_incarnation: 1 + number as u64,
+        vm: Some(format!("vm-{number}").parse().expect("valid name")),
+        pool: "pool-0".parse().expect("valid name"),
+        address: format!("10.0.0.{number}:80").parse().expect("valid address"),
+        data_centre: "dc-1".parse().expect("valid name"),
+        is_draining: false,
+        capacity: resources(Millicores(16_000), Mebibytes(64_000)),
+        labels: vec!["a".into()],
+    }
+}
--- a/crates/fleet/tests/rules/owner_work.rs
+++ b/crates/fleet/tests/rules/owner_work.rs
@@ -1,10 +1,10 @@
 //! Work of a pool's owner per event, counted in examined jobs, minions and runs.
 
-use fleet::model::{FleetConfig, MinionReport};
-use jobs::{JobSpec, Resources, StepSpec};
-use state::{AcceleratorCount, JobId, Mebibytes, Millicores, Millis, TeamId};
+use fleet::model::FleetConfig;
+use jobs::{JobSpec, StepSpec};
+use state::{JobId, Mebibytes, Millicores, Millis, TeamId};
 
-use crate::fixtures::{build_config, build_team};
+use crate::fixtures::{build_config, build_report, build_team, processor_limit, resources};
 use crate::simulation::{PlannedJob, Simulation};
 
 /// Time at which the daemon owns the pool and every minion is in the roster.
@@ -36,35 +36,12 @@
     }
 }
 
-fn resources(processor: Millicores, memory: Mebibytes) -> Resources {
-    Resources { processor, memory, accelerators: AcceleratorCount(0) }
-}
-
 fn team() -> TeamId {
     "team-0".parse().expect("valid name")
 }
 
 fn build_owner_config(team_limit: Millicores) -> FleetConfig {
-    let limit = Resources {
-        processor: team_limit,
-        memory: Mebibytes(u32::MAX),
-        accelerators: AcceleratorCount(u32::MAX),
-    };
-    build_config(1, vec![build_team(0, limit)])
-}
-
-fn build_report(number: usize) -> MinionReport {
-    MinionReport {
-        minion: format!("i-{number}").parse().expect("valid name"),
-        minion_incarnation: 1 + number as u64,
-        vm: Some(format!("vm-{number}").parse().expect("valid name")),
-        pool: "pool-0".parse().expect("valid name"),
-        address: format!("10.0.0.{number}:80").parse().expect("valid address"),
-        data_centre: "dc-1".parse().expect("valid name"),
-        is_draining: false,
-        capacity: resources(Millicores(16_000), Mebibytes(64_000)),
-        labels: vec!["a".into()],
-    }
+    build_config(1, vec![build_team(0, processor_limit(team_limit))])
 }
 
 /// Builds a job whose demand differs from that of other jobs.
--- a/crates/fleet/tests/rules/throughput.rs
+++ b/crates/fleet/tests/rules/throughput.rs
@@ -1,12 +1,12 @@
 //! Work that one owner gets done while the demand of its queue exceeds its pool.
 
 use fleet::Measurement;
-use fleet::model::{FleetConfig, MinionReport};
-use jobs::{JobSpec, Resources, StepSpec};
+use fleet::model::FleetConfig;
+use jobs::{JobSpec, StepSpec};
 use rstest::rstest;
-use state::{AcceleratorCount, JobId, Mebibytes, Millicores, Millis, TeamId};
+use state::{JobId, Mebibytes, Millicores, Millis, TeamId};
 
-use crate::fixtures::{build_config, build_team};
+use crate::fixtures::{build_config, build_report, build_team, processor_limit, resources};
 use crate::simulation::{PlannedJob, Simulation};
 
 /// Number of VMs of the pool.
@@ -21,37 +21,15 @@
 /// finished runs only once a second.
 const SAVE_TARGET: Millis = Millis(250);
 
-fn resources(processor: Millicores, memory: Mebibytes) -> Resources {
-    Resources { processor, memory, accelerators: AcceleratorCount(0) }
-}
-
 fn team() -> TeamId {
     "team-0".parse().expect("valid name")
 }
 
 fn build_unlimited_config() -> FleetConfig {
-    let limit = Resources {
-        processor: Millicores(u64::MAX),
-        memory: Mebibytes(u32::MAX),
-        accelerators: AcceleratorCount(u32::MAX),
-    };
+    let limit = processor_limit(Millicores(u64::MAX));
     build_config(1, vec![build_team(0, limit)])
 }
 
-fn build_report(number: usize) -> MinionReport {
-    MinionReport {
-        minion: format!("i-{number}").parse().expect("valid name"),
-        minion_incarnation: 1 + number as u64,
-        vm: Some(format!("vm-{number}").parse().expect("valid name")),
-        pool: "pool-0".parse().expect("valid name"),
-        address: format!("10.0.0.{number}:80").parse().expect("valid address"),
-        data_centre: "dc-1".parse().expect("valid name"),
-        is_draining: false,
-        capacity: resources(Millicores(16_000), Mebibytes(64_000)),
-        labels: vec!["a".into()],
-    }
-}
-
 /// Builds a job of two steps of eight tasks.
 fn build_job() -> PlannedJob {
     let step = |after| StepSpec {
