A pool with few jobs saves in one lane

Change: the first 64 jobs of a pool belong to the first lane; further ones go to the lane with the fewest jobs. A job keeps its lane for as long as its owner has it.

--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -11,6 +11,7 @@
 use state::{JobId, MinionId, Moment, QueueId, Revision, TeamId};
 
 use super::placement::reservation_for;
+use super::save_lane::SaveLane;
 use crate::model::QueueConfig;
 use crate::records::{ProgressRecord, UncertainFailure};
 use crate::timing::BEGUN_REPORT_DELAY;
@@ -68,6 +69,8 @@
     /// Count of the finished runs that the owner had processed when it built the last commit that
     /// saved this progress.
     pub(super) saved_through: u64,
+    /// Lane in which this owner saves the job.
+    pub(super) lane: SaveLane,
     /// Whether the phase must be saved: a final phase at once, an active one after a delay.
     pub(super) is_phase_dirty: bool,
     /// Time at which the job's first run was started or adopted.
@@ -97,6 +100,7 @@
             started_runs: 0,
             is_progress_dirty: false,
             saved_through: 0,
+            lane: SaveLane::FIRST,
             is_phase_dirty: false,
             first_run_at: None,
             may_have_unknown_runs: false,
--- a/crates/fleet/src/pool/job_table.rs
+++ b/crates/fleet/src/pool/job_table.rs
@@ -11,7 +11,7 @@
 use state::{JobId, Moment};
 
 use super::job::{OwnedJob, position_of};
-use super::save_lane::{PerLane, SaveLane};
+use super::save_lane::{PerLane, SaveLane, choose_lane};
 
 /// All jobs of a pool by name.
 #[derive(Debug, Default)]
@@ -21,6 +21,8 @@
     has_new: bool,
     /// Jobs that may have changed since the last refresh.
     changed: BTreeSet<JobId>,
+    /// Number of jobs in each lane.
+    lane_jobs: PerLane<usize>,
     /// Jobs with changes that can be saved at once, by lane.
     unsaved: PerLane<BTreeSet<JobId>>,
     /// Jobs with an active phase that is saved after a delay, by the end of the delay.
@@ -61,8 +63,11 @@
         Some(owned)
     }
 
-    pub(super) fn insert(&mut self, job: JobId, owned: OwnedJob) {
+    /// Adds a job that is not in the table, and chooses its lane.
+    pub(super) fn insert(&mut self, job: JobId, mut owned: OwnedJob) {
         self.has_new = true;
+        owned.lane = choose_lane(&self.lane_jobs);
+        self.lane_jobs[owned.lane] += 1;
         self.changed.insert(job.clone());
         self.jobs.insert(job, owned);
     }
@@ -78,7 +83,8 @@
     pub(super) fn remove(&mut self, job: &JobId) {
         let Some(owned) = self.jobs.remove(job) else { return };
         self.changed.remove(job);
-        let lane = SaveLane::of(job);
+        let lane = owned.lane;
+        self.lane_jobs[lane] -= 1;
         self.unsaved[lane].remove(job);
         if let Some(at) = owned.phase_report_at() {
             self.delayed_phases[lane].remove(&(at, job.clone()));
@@ -119,7 +125,7 @@
 
     fn index_job(&mut self, job: JobId) {
         let Some(owned) = self.jobs.get(&job) else { return };
-        let lane = SaveLane::of(&job);
+        let lane = owned.lane;
         if let Some(at) = owned.phase_report_at() {
             let is_delayed = owned.is_phase_dirty && !owned.phase.is_final();
             set_member(&mut self.delayed_phases[lane], (at, job.clone()), is_delayed);
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -123,9 +123,9 @@
         self.processed_ends
     }
 
-    /// Whether the commit in flight of a job's lane saves the job.
-    fn is_in_flight(&self, job: &JobId) -> bool {
-        let in_flight = self.lanes[SaveLane::of(job)].in_flight.as_ref();
+    /// Whether the commit in flight of a lane saves the job.
+    fn is_in_flight(&self, lane: SaveLane, job: &JobId) -> bool {
+        let in_flight = self.lanes[lane].in_flight.as_ref();
         in_flight.is_some_and(|in_flight| in_flight.jobs.contains_key(job))
     }
 
@@ -181,7 +181,7 @@
         // A job takes a row at least.
         let dirty = self.jobs.jobs_to_save(now, lane, MAX_COMMIT_ROWS, last_saved);
         self.work.add(dirty.len());
-        let has_roster = lane == SaveLane::ROSTER && self.save.is_roster_dirty;
+        let has_roster = lane == SaveLane::FIRST && self.save.is_roster_dirty;
         if dirty.is_empty() && !has_roster {
             return;
         }
@@ -286,7 +286,7 @@
         let is_unsaved = |end: &UnsavedEnd| {
             self.jobs.get(&end.job).is_some_and(|job| {
                 job.saved_through < end.count
-                    && (job.is_progress_dirty || self.save.is_in_flight(&end.job))
+                    && (job.is_progress_dirty || self.save.is_in_flight(job.lane, &end.job))
             })
         };
         let first_blocked = minion.unsaved_ends.first_blocked(is_unsaved);
--- a/crates/fleet/tests/rules/throughput.rs
+++ b/crates/fleet/tests/rules/throughput.rs
@@ -1,7 +1,7 @@
 //! Work that one owner gets done while the demand of its queue exceeds its pool.
 
-use fleet::Measurement;
 use fleet::model::FleetConfig;
+use fleet::{Measurement, OwnKey, StoreKey};
 use jobs::{JobSpec, StepSpec};
 use rstest::rstest;
 use state::{JobId, Mebibytes, Millicores, Millis, TeamId};
@@ -76,3 +76,27 @@
     assert!(longest <= SAVE_TARGET, "a finished run was saved after {longest}");
     assert_eq!(simulation.checker.violations, Vec::new());
 }
+
+/// Number of lanes with a save sequence in the store.
+fn count_used_lanes(simulation: &Simulation) -> usize {
+    let key = |lane| {
+        let pool = "pool-0".parse().expect("valid name");
+        StoreKey::Own(OwnKey::SaveSequence(pool, lane))
+    };
+    (0..=u8::MAX).filter(|lane| simulation.store.get(&key(*lane)).is_some()).count()
+}
+
+/// Guards against a pool with little work that makes more commits than one lane needs.
+#[test]
+fn calm_pool_saves_in_one_lane() {
+    let mut simulation = Simulation::new(1, 1, build_unlimited_config());
+    for number in 0..4 {
+        simulation.add_minion(build_report(number));
+    }
+    for number in 0..20 {
+        let name: JobId = format!("{:016x}", 0x1000 + number).parse().expect("valid name");
+        simulation.plan_job(SUBMISSION_MS + number * 200, name, build_job());
+    }
+    simulation.run_until(SUBMISSION_MS + 10_000);
+    assert_eq!(count_used_lanes(&simulation), 1);
+}
