--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -140,8 +140,8 @@
     /// Only minions that get no starts at present had enough free capacity: paused after a
     /// refusal, being drained, evacuated, or not confirmed by this owner yet.
     UnusableMinions,
-    /// Minions had enough free capacity, but not the label that the step requires, or as many
-    /// tasks of the step as may run on one minion.
+    /// Minions had enough free processor time and others enough free memory, but none had both, the
+    /// label that the step requires, and fewer tasks of the step than may run on one minion.
     Constraints,
 }
 
