--- a/review/stand/cases/mod.rs
+++ b/review/stand/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, each with the check of its rule.
 
 mod late_start;
+mod lowered_limit;
 mod moved_route;
 mod pending;
 mod removed_route;
@@ -15,6 +16,7 @@
 
 pub fn find(name: &str) -> Option<Case> {
     match name {
+        "lowered-limit" => Some(lowered_limit::limit_is_ignored),
         "moved-route" => Some(moved_route::job_is_unknown),
         "removed-route" => Some(removed_route::job_is_lost),
         "attempts" => Some(removed_route::attempts_are_unlimited),
--- a/review/stand/deployment.rs
+++ b/review/stand/deployment.rs
@@ -59,6 +59,8 @@
     pub daemons: Vec<Daemon>,
     services: Vec<&'static str>,
     version: i64,
+    /// `Cpu` of the tenant's `Maximum`, from the next configuration on.
+    pub limit_cpu: i64,
     folder: PathBuf,
 }
 
@@ -85,6 +87,7 @@
             daemons: Vec::new(),
             services,
             version: 2,
+            limit_cpu: 400_000,
             folder,
         };
         deployment.configure(routes, 3_000);
@@ -242,8 +245,11 @@
                 ("Spare", false.into()),
             ])
         };
-        let limit =
-            object(&[("Cpu", 400_000.into()), ("MemMb", 2_000_000.into()), ("Gpu", 0.into())]);
+        let limit = object(&[
+            ("Cpu", self.limit_cpu.into()),
+            ("MemMb", 2_000_000.into()),
+            ("Gpu", 0.into()),
+        ]);
         let tenant = object(&[
             ("Name", "cugo130".into()),
             ("ApiKeys", vec![Json::from(KEY)].into()),
