--- a/review/stand/cases/late_start.rs
+++ b/review/stand/cases/late_start.rs
@@ -12,6 +12,9 @@
 
 const CUTTING: Route =
     Route { name: "r-cut", prefix: "/puxa400/", service: "huvo11a", max_attempts: 3 };
+/// One of them crashes, which is a share of .125.
+const MINIONS: usize = 8;
+const TASKS: usize = 16;
 /// Time after which the held orders arrive; up to 12 s are named.
 const DELAY: Duration = Duration::from_secs(7);
 /// Time for which orders are held.
@@ -24,7 +27,7 @@
 /// TWICE: the late order runs the task beside its other run.
 pub fn task_runs_twice(setting: &Setting) -> Result<Verdict, String> {
     let mut deployment = Deployment::start(&setting.record, 3, &[CUTTING])?;
-    for _ in 0..3 {
+    for _ in 0..MINIONS {
         deployment.add_worker("huvo11a", 16_000);
     }
     deployment.wait_until_ready()?;
@@ -34,7 +37,7 @@
         late.set_link(Link::LateStarts(DELAY));
     }
     let step = Step {
-        count: 6,
+        count: TASKS as i64,
         cpu: 1_000,
         estimate_ms: 10_000,
         after: vec![],
@@ -48,7 +51,7 @@
     late.set_link(Link::Sound);
     // The owner gives the unanswered starts up after some two seconds, and starts the tasks again.
     let running = || deployment.workers.iter().map(|worker| worker.running()).sum::<usize>();
-    if !wait_for(Duration::from_secs(5), || running() == 6) {
+    if !wait_for(Duration::from_secs(5), || running() == TASKS) {
         return Err("not all tasks were started".into());
     }
     thread::sleep(Duration::from_millis(1_500));
--- a/review/stand/cases/two_entries.rs
+++ b/review/stand/cases/two_entries.rs
@@ -13,13 +13,15 @@
 
 const CUTTING: Route =
     Route { name: "r-cut", prefix: "/puxa400/", service: "huvo11a", max_attempts: 3 };
+/// One of them crashes, which is a share of .125.
+const MINIONS: usize = 8;
 /// Time for which the minion is down.
 const DOWN: Duration = Duration::from_millis(1_000);
 
 /// AVAIL: the machine's upkeep ends tasks that last and are at work.
 pub fn tasks_are_ended(setting: &Setting) -> Result<Verdict, String> {
     let mut deployment = Deployment::start(&setting.record, 3, &[CUTTING])?;
-    for _ in 0..3 {
+    for _ in 0..MINIONS {
         deployment.add_worker("huvo11a", 16_000);
     }
     deployment.wait_until_ready()?;
