A job is found by its name alone, whatever pool its path leads to later

Cause: the outcome of a job stood under pool and name, and the pool was derived from the path by the newest configuration. A submission whose commit took effect late could be accepted by two pools for the same reason.

Change: the outcome is outcome/ID and has the pool; the commit that accepts a job expects that no such record exists, so a name is accepted once. A copy is logged. The own interface refuses a name that a job of another queue has, which would else be accepted as a copy and never run.

--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -1,7 +1,8 @@
 //! Accepts jobs, cancels jobs and reports their state, on any daemon.
 //!
 //! A job is accepted by one commit that creates its specification and its outcome;
-//! several jobs share a commit. A commit that may have taken effect is sent again with
+//! several jobs share a commit. The outcome stands under the job's name alone and names the pool,
+//! so a job is found, and a copy of its submission recognised, by every later configuration. A commit that may have taken effect is sent again with
 //! the same expectations until the caller's timeout: the store then either applies the
 //! commit or shows that the records exist. A request is reported as not done only if no
 //! commit can have taken effect. The state of a job is answered from the shared
@@ -12,7 +13,7 @@
 use jobs::{AcceptedJob, JobOutcome, JobPhase};
 use state::{JobId, Millis, Moment, PoolId, QueueId, Revision};
 
-use crate::event::{ClientAction, ClientAnswer, ClientCall, Clock, ReplyToken};
+use crate::event::{ClientAction, ClientAnswer, ClientCall, ClientTarget, Clock, ReplyToken};
 use crate::io::{ItemValue, PutValue, StoreAnswer, StoreCall, StoreCommit, StoreItem, StorePut};
 use crate::key::{OwnKey, StoreKey};
 use crate::outbox::{CallPurpose, Outbox};
@@ -33,8 +34,9 @@
 /// Request that waits for the store.
 #[derive(Debug)]
 struct OpenRequest {
-    pool: PoolId,
     job: JobId,
+    /// Queue that the request names; `None` if a path addresses the job.
+    named_queue: Option<QueueId>,
     expires_at: Moment,
     retry_at: Option<Moment>,
     /// Whether a write may have taken effect or may still take effect.
@@ -44,7 +46,8 @@
 
 #[derive(Debug)]
 enum RequestAction {
-    Submit(Box<AcceptedJob>),
+    /// Accepts a job for a pool.
+    Submit(PoolId, Box<AcceptedJob>),
     Cancel,
     Show,
 }
@@ -62,8 +65,8 @@
     StoreKey::Own(OwnKey::Job(pool.clone(), job.clone()))
 }
 
-fn outcome_key(pool: &PoolId, job: &JobId) -> StoreKey {
-    StoreKey::Own(OwnKey::Outcome(pool.clone(), job.clone()))
+fn outcome_key(job: &JobId) -> StoreKey {
+    StoreKey::Own(OwnKey::Outcome(job.clone()))
 }
 
 fn record_put(key: StoreKey, bytes: Box<[u8]>) -> StorePut {
@@ -114,11 +117,21 @@
         let Ok(job) = job_name.parse::<JobId>() else {
             return Some(ClientAnswer::Malformed("the job's name has no such form".into()));
         };
-        let stored_outcome = shared.outcomes.get(&(queue.pool.clone(), job.clone()));
+        let named_queue = match &call.target {
+            ClientTarget::Queue { queue, .. } => Some(queue.clone()),
+            ClientTarget::Route { .. } => None,
+        };
+        let stored_outcome = shared.outcomes.get(&job);
+        if let Some(other) = stored_outcome.and_then(|stored_outcome| {
+            other_queue(shared, named_queue.as_ref(), &stored_outcome.record)
+        }) {
+            let is_submission = matches!(call.action, ClientAction::Submit(_));
+            return Some(foreign_job_answer(is_submission, other));
+        }
         let store_timeout = Millis(call.timeout.0.saturating_sub(ANSWER_MARGIN.0));
         let new_request = |action| OpenRequest {
-            pool: queue.pool.clone(),
             job: job.clone(),
+            named_queue: named_queue.clone(),
             expires_at: clock.now + store_timeout,
             retry_at: None,
             may_be_written: false,
@@ -127,18 +140,19 @@
         match call.action {
             ClientAction::Submit(Err(reason)) => Some(ClientAnswer::Malformed(reason)),
             ClientAction::Submit(Ok(spec)) => {
-                if stored_outcome.is_some() {
+                if let Some(stored_outcome) = stored_outcome {
+                    log_duplicate(out, &job, &stored_outcome.record);
                     return Some(ClientAnswer::Accepted);
                 }
                 if let Err(fault) = spec.check() {
                     return Some(ClientAnswer::Malformed(fault.to_string().into()));
                 }
                 let team = team.filter(|_| !queue.is_open).map(|team| team.team.clone());
-                let queue = queue.queue.clone();
+                let (queue, pool) = (queue.queue.clone(), queue.pool.clone());
                 let accepted_ms = clock.wall_ms;
                 let job = AcceptedJob { queue, team, accepted_ms, spec };
-                self.requests
-                    .insert(call.reply_token, new_request(RequestAction::Submit(Box::new(job))));
+                let action = RequestAction::Submit(pool, Box::new(job));
+                self.requests.insert(call.reply_token, new_request(action));
                 self.waiting_submissions.push_back(call.reply_token);
                 self.send_waiting(clock, out);
                 None
@@ -148,7 +162,7 @@
                     return Some(ClientAnswer::Phase(stored_outcome.record.phase));
                 }
                 self.requests.insert(call.reply_token, new_request(RequestAction::Show));
-                read_outcome(clock, out, call.reply_token, &queue.pool, &job);
+                read_outcome(clock, out, call.reply_token, &job);
                 None
             }
             ClientAction::Cancel => {
@@ -158,7 +172,7 @@
                         self.cancel(clock, out, call.reply_token, stored_outcome)
                     }
                     None => {
-                        read_outcome(clock, out, call.reply_token, &queue.pool, &job);
+                        read_outcome(clock, out, call.reply_token, &job);
                         None
                     }
                 }
@@ -188,10 +202,11 @@
 
     fn add_submission(&self, commit: &mut StoreCommit, reply_token: ReplyToken) {
         let Some(request) = self.requests.get(&reply_token) else { return };
-        let RequestAction::Submit(accepted) = &request.action else { return };
-        let outcome = JobOutcome { phase: JobPhase::Queued, queue: accepted.queue.clone() };
+        let RequestAction::Submit(pool, accepted) = &request.action else { return };
+        let (queue, pool) = (accepted.queue.clone(), pool.clone());
         let (job_record_key, outcome_record_key) =
-            (job_key(&request.pool, &request.job), outcome_key(&request.pool, &request.job));
+            (job_key(&pool, &request.job), outcome_key(&request.job));
+        let outcome = JobOutcome { phase: JobPhase::Queued, queue, pool };
         commit.expect.push((job_record_key.clone(), Revision(0)));
         commit.expect.push((outcome_record_key.clone(), Revision(0)));
         commit.puts.push(record_put(job_record_key, encode(accepted)));
@@ -211,9 +226,8 @@
             self.requests.remove(&reply_token);
             return Some(ClientAnswer::Cancelled);
         }
-        let key = outcome_key(&request.pool, &request.job);
-        let record =
-            JobOutcome { phase: JobPhase::Cancelled, queue: stored_outcome.record.queue.clone() };
+        let key = outcome_key(&request.job);
+        let record = JobOutcome { phase: JobPhase::Cancelled, ..stored_outcome.record.clone() };
         let commit = StoreCommit {
             expect: vec![(key.clone(), stored_outcome.revision)],
             puts: vec![record_put(key, encode(&record))],
@@ -263,19 +277,11 @@
                 self.finish_request(clock, out, shared, reply_token, ClientAnswer::Accepted);
             }
             StoreAnswer::Conflict(items) => {
-                let keys = [
-                    job_key(&request.pool, &request.job),
-                    outcome_key(&request.pool, &request.job),
-                ];
-                let exists = |item: &StoreItem| keys.contains(&item.key) && item.revision.0 > 0;
-                if items.iter().any(exists) {
-                    return self.finish_request(
-                        clock,
-                        out,
-                        shared,
-                        reply_token,
-                        ClientAnswer::Accepted,
-                    );
+                let key = outcome_key(&request.job);
+                let exists = |item: &&StoreItem| item.key == key && item.revision.0 > 0;
+                if let Some(item) = items.iter().find(exists) {
+                    let answer = duplicate_answer(out, shared, request, item);
+                    return self.finish_request(clock, out, shared, reply_token, answer);
                 }
                 // Another job of the same commit existed already, so the store applied
                 // nothing.
@@ -337,7 +343,7 @@
         items: Vec<StoreItem>,
     ) {
         let Some(request) = self.requests.get(&reply_token) else { return };
-        let key = outcome_key(&request.pool, &request.job);
+        let key = outcome_key(&request.job);
         let item = items.into_iter().find(|item| item.key == key && item.revision.0 > 0);
         let Some(StoreItem { value: ItemValue::Own(bytes), revision, created, .. }) = item else {
             return self.finish_request(clock, out, shared, reply_token, ClientAnswer::NoJob);
@@ -349,6 +355,10 @@
                 return self.finish_request(clock, out, shared, reply_token, ClientAnswer::Unknown);
             }
         };
+        if let Some(other) = other_queue(shared, request.named_queue.as_ref(), &record) {
+            let answer = foreign_job_answer(false, other);
+            return self.finish_request(clock, out, shared, reply_token, answer);
+        }
         if matches!(request.action, RequestAction::Cancel) {
             let stored_outcome = Versioned { record, revision, created };
             if let Some(answer) = self.cancel(clock, out, reply_token, &stored_outcome) {
@@ -405,9 +415,9 @@
             }
             request.retry_at = None;
             match request.action {
-                RequestAction::Submit(_) => self.waiting_submissions.push_back(*reply_token),
+                RequestAction::Submit(..) => self.waiting_submissions.push_back(*reply_token),
                 RequestAction::Cancel | RequestAction::Show => {
-                    read_outcome(clock, out, *reply_token, &request.pool, &request.job);
+                    read_outcome(clock, out, *reply_token, &request.job);
                 }
             }
         }
@@ -415,17 +425,63 @@
     }
 }
 
-fn read_outcome(
-    clock: Clock,
-    out: &mut Outbox,
-    reply_token: ReplyToken,
-    pool: &PoolId,
-    job: &JobId,
-) {
-    let request = StoreCall::Read(outcome_key(pool, job));
+fn read_outcome(clock: Clock, out: &mut Outbox, reply_token: ReplyToken, job: &JobId) {
+    let request = StoreCall::Read(outcome_key(job));
     out.call_store(clock, CallPurpose::Intake(IntakeCall::ReadOutcome(reply_token)), request);
 }
 
+/// Returns the job's queue if a request names another one and the job's queue is still configured.
+/// A path addresses a job whatever queue it leads to, since submitters know nothing else of it.
+fn other_queue<'a>(
+    shared: &SharedRecords,
+    named_queue: Option<&QueueId>,
+    outcome: &'a JobOutcome,
+) -> Option<&'a QueueId> {
+    let is_configured = |queue: &QueueId| {
+        shared.config.as_ref().is_some_and(|config| config.queue(queue).is_some())
+    };
+    let is_other = named_queue.is_some_and(|queue| *queue != outcome.queue);
+    Some(&outcome.queue).filter(|queue| is_other && is_configured(queue))
+}
+
+/// Returns the answer to a request for a job that belongs to a queue other than the named one.
+fn foreign_job_answer(is_submission: bool, queue: &QueueId) -> ClientAnswer {
+    if is_submission {
+        let reason = format!("a job of queue {queue} has this name");
+        ClientAnswer::Malformed(reason.into())
+    } else {
+        ClientAnswer::NoJob
+    }
+}
+
+/// Returns the answer to a submission whose job the store has already, as `item` shows.
+fn duplicate_answer(
+    out: &mut Outbox,
+    shared: &SharedRecords,
+    request: &OpenRequest,
+    item: &StoreItem,
+) -> ClientAnswer {
+    let ItemValue::Own(bytes) = &item.value else { return ClientAnswer::Unknown };
+    let outcome: JobOutcome = match decode(bytes) {
+        Ok(outcome) => outcome,
+        Err(reason) => {
+            out.log("record", format!("{:?}", item.key), reason, "skipped");
+            return ClientAnswer::Unknown;
+        }
+    };
+    if let Some(other) = other_queue(shared, request.named_queue.as_ref(), &outcome) {
+        return foreign_job_answer(true, other);
+    }
+    log_duplicate(out, &request.job, &outcome);
+    ClientAnswer::Accepted
+}
+
+/// Logs that a submission is a copy of one that was accepted, and by what queue and for what pool.
+fn log_duplicate(out: &mut Outbox, job: &JobId, outcome: &JobOutcome) {
+    let inputs = format!("accepted by queue {} for pool {}", outcome.queue, outcome.pool);
+    out.log("submission", job, inputs, "duplicate");
+}
+
 fn pending_answer(shared: &SharedRecords, queue: &QueueId) -> ClientAnswer {
     let is_queued = |outcome: &&Versioned<JobOutcome>| {
         outcome.record.phase == JobPhase::Queued && outcome.record.queue == *queue
--- a/crates/fleet/src/key.rs
+++ b/crates/fleet/src/key.rs
@@ -32,7 +32,7 @@
     /// Owner of a shard; the record lives as long as the owner's lease.
     Owner(ShardKey),
     /// State of a job as reported to its submitters.
-    Outcome(PoolId, JobId),
+    Outcome(JobId),
     /// Quota allocations: the teams' limits, split among pools.
     Parts,
     /// VMs that a pool requests and offers.
@@ -53,7 +53,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Owner(shard) => write!(f, "owner/{shard}"),
-            Self::Outcome(pool, job) => write!(f, "outcome/{pool}/{job}"),
+            Self::Outcome(job) => write!(f, "outcome/{job}"),
             Self::Parts => write!(f, "oparts"),
             Self::Need(pool) => write!(f, "oneed/{pool}"),
             Self::Wave(wave) => write!(f, "owave/{wave}"),
@@ -73,7 +73,7 @@
         let parse = || match segments.as_slice() {
             ["owner", "mover"] => Some(Self::Owner(ShardKey::VmController)),
             ["owner", "pool", pool] => Some(Self::Owner(ShardKey::Pool(pool.parse().ok()?))),
-            ["outcome", pool, job] => Some(Self::Outcome(pool.parse().ok()?, job.parse().ok()?)),
+            ["outcome", job] => Some(Self::Outcome(job.parse().ok()?)),
             ["oparts"] => Some(Self::Parts),
             ["oneed", pool] => Some(Self::Need(pool.parse().ok()?)),
             ["owave", wave] => Some(Self::Wave(wave.parse().ok()?)),
--- a/crates/fleet/src/pool/expiry.rs
+++ b/crates/fleet/src/pool/expiry.rs
@@ -36,8 +36,8 @@
     /// starts anew.
     pub(super) fn queue_ended_jobs(&mut self, context: &StepContext) {
         let now = context.clock.now;
-        for ((pool, job), outcome) in &context.shared.outcomes {
-            if *pool == self.pool && outcome.record.phase.is_final() {
+        for (job, outcome) in &context.shared.outcomes {
+            if outcome.record.pool == self.pool && outcome.record.phase.is_final() {
                 self.expiry.ended.push_back((now, job.clone()));
             }
         }
@@ -55,10 +55,10 @@
         while commit.rows() + 2 <= MAX_COMMIT_ROWS
             && let Some(job) = self.expiry.pop_due(context.clock.now)
         {
-            let known = context.shared.outcomes.get(&(self.pool.clone(), job.clone()));
+            let known = context.shared.outcomes.get(&job);
             // A job whose records are not removed yet still needs its outcome.
             if let Some(known) = known.filter(|_| !self.jobs.contains_key(&job)) {
-                let key = StoreKey::Own(OwnKey::Outcome(self.pool.clone(), job));
+                let key = StoreKey::Own(OwnKey::Outcome(job));
                 commit.expect.push((key.clone(), known.revision));
                 commit.remove.push(key);
             }
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -275,7 +275,7 @@
         };
         // The commit that accepted the job also created its outcome, so both have the same
         // revision until the outcome changes.
-        let known = context.shared.outcomes.get(&(self.pool.clone(), job.clone()));
+        let known = context.shared.outcomes.get(job);
         let (phase, revision) = known.map_or((JobPhase::Queued, item.revision), |known| {
             (known.record.phase, known.revision)
         });
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -285,8 +285,7 @@
 
     /// Adopts a changed outcome from the shared records, such as a cancellation.
     pub(crate) fn on_outcome(&mut self, context: &mut StepContext, job: &JobId) {
-        let key = (self.pool.clone(), job.clone());
-        if let Some(known) = context.shared.outcomes.get(&key) {
+        if let Some(known) = context.shared.outcomes.get(job) {
             self.adopt_outcome(context, job, known.record.phase, known.revision);
         }
     }
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -157,7 +157,7 @@
         (
             self.pool_key(|pool| OwnKey::Job(pool, job.clone())),
             self.pool_key(|pool| OwnKey::Progress(pool, job.clone())),
-            self.pool_key(|pool| OwnKey::Outcome(pool, job.clone())),
+            StoreKey::Own(OwnKey::Outcome(job.clone())),
         )
     }
 
@@ -301,7 +301,8 @@
             commit.expect.push((outcome_key.clone(), job.outcome_revision));
         }
         if saved.has_phase {
-            let outcome = JobOutcome { phase: job.phase, queue: job.queue.clone() };
+            let (queue, pool) = (job.queue.clone(), self.pool.clone());
+            let outcome = JobOutcome { phase: job.phase, queue, pool };
             let value = PutValue::Own(encode(&outcome));
             commit.puts.push(StorePut { key: outcome_key, value, lease: None });
         }
@@ -413,7 +414,7 @@
         }
         for item in items {
             match &item.key {
-                StoreKey::Own(OwnKey::Outcome(_, job)) => {
+                StoreKey::Own(OwnKey::Outcome(job)) => {
                     let ItemValue::Own(bytes) = &item.value else { continue };
                     match decode::<JobOutcome>(bytes) {
                         Ok(outcome) => {
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -40,6 +40,7 @@
 pub(crate) struct SharedChanges {
     pub(crate) has_new_config: bool,
     pub(crate) has_owner_changes: bool,
+    /// Jobs with a new outcome, and their pools.
     pub(crate) outcomes: Vec<(PoolId, JobId)>,
 }
 
@@ -51,7 +52,7 @@
     pub(crate) wave_orders: BTreeMap<u64, WaveOrder>,
     pub(crate) wave_progress: BTreeMap<u64, Versioned<WaveProgressDoc>>,
     pub(crate) owners: BTreeMap<ShardKey, Versioned<OwnerRecord>>,
-    pub(crate) outcomes: BTreeMap<(PoolId, JobId), Versioned<JobOutcome>>,
+    pub(crate) outcomes: BTreeMap<JobId, Versioned<JobOutcome>>,
     pub(crate) allocations: Option<Versioned<AllocationDoc>>,
     pub(crate) demands: BTreeMap<PoolId, Versioned<PoolDemand>>,
     is_loaded: bool,
@@ -266,15 +267,13 @@
                 self.owners.insert(shard.clone(), Versioned { record, revision, created });
                 changes.has_owner_changes = true;
             }
-            OwnKey::Outcome(pool, job) => {
-                let outcome_name = (pool.clone(), job.clone());
-                if self.outcomes.get(&outcome_name).is_some_and(|known| known.revision >= revision)
-                {
+            OwnKey::Outcome(job) => {
+                if self.outcomes.get(job).is_some_and(|known| known.revision >= revision) {
                     return Ok(());
                 }
-                let record = decode(bytes)?;
-                self.outcomes.insert(outcome_name.clone(), Versioned { record, revision, created });
-                changes.outcomes.push(outcome_name);
+                let record: JobOutcome = decode(bytes)?;
+                changes.outcomes.push((record.pool.clone(), job.clone()));
+                self.outcomes.insert(job.clone(), Versioned { record, revision, created });
             }
             OwnKey::Parts => {
                 self.allocations = Some(Versioned { record: decode(bytes)?, revision, created });
@@ -307,8 +306,8 @@
                 self.owners.remove(shard);
                 changes.has_owner_changes = true;
             }
-            StoreKey::Own(OwnKey::Outcome(pool, job)) => {
-                self.outcomes.remove(&(pool.clone(), job.clone()));
+            StoreKey::Own(OwnKey::Outcome(job)) => {
+                self.outcomes.remove(job);
             }
             StoreKey::Own(OwnKey::Parts) => self.allocations = None,
             StoreKey::Own(OwnKey::Wave(wave)) => {
@@ -322,8 +321,7 @@
     fn remove_unlisted(&mut self, changes: &mut SharedChanges) {
         let owners = self.owners.keys().map(|shard| OwnKey::Owner(shard.clone()));
         let demand_keys = self.demands.keys().map(|pool| OwnKey::Need(pool.clone()));
-        let outcomes = self.outcomes.keys();
-        let outcomes = outcomes.map(|(pool, job)| OwnKey::Outcome(pool.clone(), job.clone()));
+        let outcomes = self.outcomes.keys().map(|job| OwnKey::Outcome(job.clone()));
         let progress_keys = self.wave_progress.keys().map(|wave| OwnKey::Wave(*wave));
         let allocations = self.allocations.as_ref().map(|_| OwnKey::Parts);
         let own_keys = owners
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -4,6 +4,7 @@
 //! tests the rules of the fleet against what submitters, minions, the operator and the cloud
 //! observe.
 
+mod accepted_jobs;
 mod checker;
 mod cloud;
 mod config_rule;
--- a/crates/jobs/src/outcome.rs
+++ b/crates/jobs/src/outcome.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use state::QueueId;
+use state::{PoolId, QueueId};
 
 /// Stage of a job in its life cycle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -41,10 +41,15 @@
 }
 
 /// Stored record of a job's phase, which every daemon watches.
+///
+/// The record stands under the job's name alone, so a name is accepted once, whichever pool its
+/// path leads to (`docs/PLATFORM.md`, "Truths").
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobOutcome {
     /// Phase that the job has reached.
     pub phase: JobPhase,
     /// Queue to which the job was submitted.
     pub queue: QueueId,
+    /// Pool that runs the job: the queue's pool when the job was accepted.
+    pub pool: PoolId,
 }
