A job keeps the terms that its queue had when it was accepted

Cause: attempts, priority and objective were looked up in the newest configuration by the queue's name; without the queue the attempts counted as unlimited (`max_attempts` of u32::MAX in ready_queue.rs) and the check for exhausted tasks left the job out.

Change: the stored job has the terms of its queue. Ranking, starts and the check of attempts read them from the job; the queue's lookup for them is gone.

--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -148,10 +148,14 @@
                     return Some(ClientAnswer::Malformed(fault.to_string().into()));
                 }
                 let team = team.filter(|_| !queue.is_open).map(|team| team.team.clone());
-                let (queue, pool) = (queue.queue.clone(), queue.pool.clone());
-                let accepted_ms = clock.wall_ms;
-                let job = AcceptedJob { queue, team, accepted_ms, spec };
-                let action = RequestAction::Submit(pool, Box::new(job));
+                let job = AcceptedJob {
+                    queue: queue.queue.clone(),
+                    terms: queue.terms.clone(),
+                    team,
+                    accepted_ms: clock.wall_ms,
+                    spec,
+                };
+                let action = RequestAction::Submit(queue.pool.clone(), Box::new(job));
                 self.requests.insert(call.reply_token, new_request(action));
                 self.waiting_submissions.push_back(call.reply_token);
                 self.send_waiting(clock, out);
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use jobs::Resources;
+use jobs::{QueueTerms, Resources};
 use serde::{Deserialize, Serialize};
 use state::{
     DaemonId, DataCentreId, Incarnation, Millicores, Millis, MinionId, PoolId, QueueId, TeamId,
@@ -115,15 +115,8 @@
     pub prefix: Box<str>,
     /// Pool that runs the queue's tasks.
     pub pool: PoolId,
-    /// Priority of the queue; 0 is the highest.
-    pub priority: u32,
-    /// Number of failed runs after which a job fails.
-    pub max_attempts: u32,
-    /// Factor over the job's critical path; the latency objective is their product plus
-    /// `latency_objective`.
-    pub slack_factor: f64,
-    /// Part of the latency objective that is added to the product with `slack_factor`.
-    pub latency_objective: Millis,
+    /// Terms on which the queue's jobs run; each job keeps those with which it was accepted.
+    pub terms: QueueTerms,
     /// Whether jobs are accepted without a key.
     pub is_open: bool,
     /// Whether each start needs a ticket of the adviser.
--- a/crates/fleet/src/pool/failures.rs
+++ b/crates/fleet/src/pool/failures.rs
@@ -158,9 +158,8 @@
         }
     }
 
-    /// Fails jobs with a task that has failed as often as the job's queue allows.
+    /// Fails jobs with a task that has failed as often as the job's terms allow.
     pub(super) fn fail_exhausted_jobs(&mut self, context: &mut StepContext) {
-        let Some(config) = context.shared.config.as_ref() else { return };
         let mut exhausted: Vec<(JobId, TaskName)> = Vec::new();
         for name in self.jobs.take_unchecked() {
             self.work.add(1);
@@ -168,9 +167,7 @@
             if job.phase.is_final() || job.may_have_unknown_runs {
                 continue;
             }
-            // The maximum number of attempts is unknown without the queue's configuration.
-            let Some(queue) = config.queue(&job.queue) else { continue };
-            if let Some(position) = job.exhausted_task(queue.max_attempts) {
+            if let Some(position) = job.exhausted_task() {
                 let task = super::job::task_name(&name, position);
                 exhausted.push((name, task));
             }
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -7,12 +7,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use jobs::{AcceptedJob, JobPhase, JobProgress, JobSpec, Resources, RunNumber, TaskMark, TaskName};
+use jobs::{
+    AcceptedJob, JobPhase, JobProgress, JobSpec, QueueTerms, Resources, RunNumber, TaskMark,
+    TaskName,
+};
 use state::{JobId, MinionId, Moment, QueueId, Revision, TeamId};
 
 use super::placement::reservation_for;
 use super::save_lane::SaveLane;
-use crate::model::QueueConfig;
 use crate::records::{ProgressRecord, UncertainFailure};
 use crate::timing::BEGUN_REPORT_DELAY;
 
@@ -41,6 +43,8 @@
 pub(super) struct OwnedJob {
     pub(super) spec: Arc<JobSpec>,
     pub(super) queue: QueueId,
+    /// Terms of the queue when the job was accepted.
+    pub(super) terms: QueueTerms,
     pub(super) team: Option<TeamId>,
     /// Time of acceptance, in milliseconds since 1970.
     pub(super) accepted_ms: u64,
@@ -85,6 +89,7 @@
         Self {
             spec: Arc::new(accepted.spec),
             queue: accepted.queue,
+            terms: accepted.terms,
             team: accepted.team,
             accepted_ms: accepted.accepted_ms,
             phase,
@@ -234,14 +239,14 @@
         self.failures = record.uncertain_failures.into_iter().map(to_pending).collect();
     }
 
-    /// Finds a ready task that has failed at least `max_attempts` times, with no uncertain
+    /// Finds a ready task that has failed as often as the job's terms allow, with no uncertain
     /// failure.
-    pub(super) fn exhausted_task(&self, max_attempts: u32) -> Option<TaskPosition> {
+    pub(super) fn exhausted_task(&self) -> Option<TaskPosition> {
         let is_exhausted = |position: &TaskPosition| {
             let mark = self.progress.mark(position.0, position.1, position.2);
             let is_uncertain =
                 self.failures.iter().any(|failure| failure.details.task == *position);
-            matches!(mark, TaskMark::Open(failed) if u32::from(failed) >= max_attempts)
+            matches!(mark, TaskMark::Open(failed) if u32::from(failed) >= self.terms.max_attempts)
                 && !is_uncertain
         };
         let positions = self.ready.iter().flat_map(|((occurrence, step), tasks)| {
@@ -250,10 +255,10 @@
         positions.into_iter().find(is_exhausted)
     }
 
-    /// Whether a task has failed fewer than `max_attempts` times.
-    pub(super) fn has_attempts_left(&self, position: TaskPosition, max_attempts: u32) -> bool {
+    /// Whether a task has failed fewer times than the job's terms allow.
+    pub(super) fn has_attempts_left(&self, position: TaskPosition) -> bool {
         let mark = self.progress.mark(position.0, position.1, position.2);
-        matches!(mark, TaskMark::Open(failed) if u32::from(failed) < max_attempts)
+        matches!(mark, TaskMark::Open(failed) if u32::from(failed) < self.terms.max_attempts)
     }
 
     /// Returns a run number that is higher than all earlier ones of the job, including
@@ -277,11 +282,11 @@
     }
 
     /// Returns the time by which the job should be complete, in milliseconds since 1970.
-    pub(super) fn objective_ms(&self, queue: &QueueConfig) -> u64 {
-        let critical_path_ms = self.spec.critical_path().0 as f64 * queue.slack_factor;
+    pub(super) fn objective_ms(&self) -> u64 {
+        let critical_path_ms = self.spec.critical_path().0 as f64 * self.terms.slack_factor;
         let occurrence = self.next_occurrence();
         let earliest_start_ms = self.spec.due_ms(occurrence).max(self.accepted_ms);
-        earliest_start_ms + critical_path_ms as u64 + queue.latency_objective.0
+        earliest_start_ms + critical_path_ms as u64 + self.terms.latency_objective.0
     }
 }
 
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -45,8 +45,6 @@
     spec: &'a StepSpec,
     team: Option<&'a TeamId>,
     reservation: Resources,
-    /// Maximum number of failures of each task.
-    max_attempts: u32,
     ready_since_ms: u64,
     wait_cause: &'a Cell<WaitCause>,
 }
@@ -73,7 +71,6 @@
                     spec,
                     team: ready.team.as_ref(),
                     reservation: group.reservation,
-                    max_attempts: ready.max_attempts,
                     ready_since_ms: group.ready_since_ms,
                     wait_cause: &group.wait_cause,
                 };
@@ -105,7 +102,7 @@
             let Some(owned) = self.jobs.get(&job) else { continue };
             let queue = config.queue(&owned.queue);
             if !owned.may_have_unknown_runs && (queue.is_some() || has_queue) {
-                self.ready_queue.insert(job, owned, previous, queue, wall_ms);
+                self.ready_queue.insert(job, owned, previous, wall_ms);
             }
         }
     }
@@ -205,8 +202,7 @@
         let tasks = job.ready.get(&(group.occurrence, group.step))?;
         let may_start = |index: &&u32| {
             group.spec.long_running
-                || job
-                    .has_attempts_left((group.occurrence, group.step, **index), group.max_attempts)
+                || job.has_attempts_left((group.occurrence, group.step, **index))
         };
         tasks.iter().rev().find(may_start).copied()
     }
--- a/crates/fleet/src/pool/ready_queue.rs
+++ b/crates/fleet/src/pool/ready_queue.rs
@@ -14,7 +14,6 @@
 use super::job::OwnedJob;
 use super::placement::reservation_for;
 use crate::event::WaitCause;
-use crate::model::QueueConfig;
 
 /// Order in which jobs are placed; lower ranks come first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -52,8 +51,6 @@
 pub(super) struct ReadyJob {
     pub(super) spec: Arc<JobSpec>,
     pub(super) team: Option<TeamId>,
-    /// Maximum number of failures of each task.
-    pub(super) max_attempts: u32,
     pub(super) groups: Box<[ReadyGroup]>,
 }
 
@@ -94,22 +91,20 @@
         job: JobId,
         owned: &OwnedJob,
         previous: Option<ReadyJob>,
-        queue: Option<&QueueConfig>,
         wall_ms: u64,
     ) {
-        let max_attempts = queue.map_or(u32::MAX, |queue| queue.max_attempts);
         let previous_groups = previous.map(|ready| ready.groups).unwrap_or_default();
-        let groups = list_ready_groups(owned, max_attempts, &previous_groups, wall_ms);
+        let groups = list_ready_groups(owned, &previous_groups, wall_ms);
         if groups.is_empty() {
             return;
         }
-        let rank = rank_job(owned, queue, wall_ms);
+        let rank = rank_job(owned, wall_ms);
         if rank.class == RankClass::OnTime {
             self.on_time.insert((rank.latest_start_ms, job.clone()));
         }
         let (spec, team) = (Arc::clone(&owned.spec), owned.team.clone());
         self.ranks.insert(job.clone(), rank);
-        self.jobs.insert((rank, job), ReadyJob { spec, team, max_attempts, groups });
+        self.jobs.insert((rank, job), ReadyJob { spec, team, groups });
     }
 
     /// Moves the jobs that can no longer meet their objective to the late ones, and returns
@@ -130,17 +125,11 @@
 }
 
 /// Lists a job's groups of ready tasks with at least one task that has attempts left.
-fn list_ready_groups(
-    owned: &OwnedJob,
-    max_attempts: u32,
-    previous: &[ReadyGroup],
-    wall_ms: u64,
-) -> Box<[ReadyGroup]> {
+fn list_ready_groups(owned: &OwnedJob, previous: &[ReadyGroup], wall_ms: u64) -> Box<[ReadyGroup]> {
     let to_group = |(&(occurrence, step), tasks): (&(u32, u16), &Vec<u32>)| {
         let spec = owned.spec.steps.get(usize::from(step))?;
-        let may_start = |index: &u32| {
-            spec.long_running || owned.has_attempts_left((occurrence, step, *index), max_attempts)
-        };
+        let may_start =
+            |index: &u32| spec.long_running || owned.has_attempts_left((occurrence, step, *index));
         let known =
             previous.iter().find(|group| (group.occurrence, group.step) == (occurrence, step));
         tasks.iter().any(may_start).then(|| ReadyGroup {
@@ -157,11 +146,9 @@
 }
 
 /// Computes a job's rank at `wall_ms`, in milliseconds since 1970.
-fn rank_job(job: &OwnedJob, queue: Option<&QueueConfig>, wall_ms: u64) -> PlaceRank {
-    let priority = queue.map_or(u32::MAX, |queue| queue.priority);
-    let objective_ms = queue.map_or(u64::MAX, |queue| job.objective_ms(queue));
+fn rank_job(job: &OwnedJob, wall_ms: u64) -> PlaceRank {
     let remaining = job.spec.remaining_critical_path(&job.progress, job.next_occurrence());
-    let latest_start_ms = objective_ms.saturating_sub(remaining.0);
+    let latest_start_ms = job.objective_ms().saturating_sub(remaining.0);
     let class = if job.spec.is_long_running() {
         RankClass::LongRunning
     } else if wall_ms <= latest_start_ms {
@@ -169,5 +156,5 @@
     } else {
         RankClass::Late
     };
-    PlaceRank { class, priority, latest_start_ms }
+    PlaceRank { class, priority: job.terms.priority, latest_start_ms }
 }
--- a/crates/fleet/tests/rules/accepted_jobs.rs
+++ b/crates/fleet/tests/rules/accepted_jobs.rs
@@ -1,5 +1,6 @@
 //! Runs in which the operator sends the path of accepted jobs to another pool, or removes it.
 
+use fleet::model::{FleetConfig, QueueConfig};
 use fleet::{ClientAction, ClientAnswer, ClientTarget};
 use jobs::{JobPhase, JobSpec, StepSpec};
 use rstest::rstest;
@@ -49,16 +50,40 @@
 /// leads to the first pool.
 fn move_path(simulation: &mut Simulation) {
     simulation.change_config(|config| {
-        let mut other = config.queues[0].clone();
-        other.queue = "queue-other".parse().expect("valid name");
-        other.prefix = "/other/".into();
-        config.queues.push(other);
+        add_other_queue(config);
         let queue = &mut config.queues[0];
         queue.queue = "queue-moved".parse().expect("valid name");
         queue.pool = "pool-1".parse().expect("valid name");
     });
 }
 
+/// Removes the first queue, and adds another one that leads to its pool if `has_other`. Returns the
+/// removed queue.
+fn remove_queue(simulation: &mut Simulation, has_other: bool) -> QueueConfig {
+    let removed = simulation.config.queues[0].clone();
+    simulation.change_config(|config| {
+        if has_other {
+            add_other_queue(config);
+        }
+        config.queues.remove(0);
+    });
+    removed
+}
+
+/// Adds a queue with another path that leads to the pool of the first one.
+fn add_other_queue(config: &mut FleetConfig) {
+    let mut other = config.queues[0].clone();
+    other.queue = "queue-other".parse().expect("valid name");
+    other.prefix = "/other/".into();
+    config.queues.push(other);
+}
+
+/// Puts a removed queue back and waits until the change is in force.
+fn restore_queue(simulation: &mut Simulation, queue: QueueConfig) {
+    simulation.change_config(|config| config.queues.insert(0, queue));
+    simulation.run_until(simulation.now + CONFIG_APPLY_MS);
+}
+
 /// Sends a request for the job's path to every daemon and returns their answers.
 fn ask_daemons(simulation: &mut Simulation, action: &ClientAction) -> Vec<ClientAnswer> {
     let path = format!("/q0/{}", job_name()).into();
@@ -191,3 +216,23 @@
     let complete = vec![ClientAnswer::Phase(JobPhase::Complete); DAEMON_COUNT];
     assert_eq!(ask_daemons(&mut simulation, &ClientAction::Show), complete);
 }
+
+/// Guards against a task that fails and is started without an end, because its queue is removed and
+/// another one leads to its pool.
+#[test]
+fn attempts_are_those_of_the_queue_that_accepted_the_job() {
+    let mut simulation = build_simulation(1);
+    simulation.faults.run_failure_probability = 1.0;
+    let mut spec = build_spec();
+    spec.steps.truncate(1);
+    spec.steps[0].tasks = 1;
+    plan_job(&mut simulation, spec, None);
+    simulation.run_until(SUBMITTED_MS + 100);
+    let removed = remove_queue(&mut simulation, true);
+    simulation.run_until(SUBMITTED_MS + 3 * JOB_DURATION_MS);
+    assert_eq!(simulation.checker.start_count, u64::from(removed.terms.max_attempts));
+    restore_queue(&mut simulation, removed);
+    let failed = vec![ClientAnswer::Phase(JobPhase::Failed); DAEMON_COUNT];
+    assert_eq!(ask_daemons(&mut simulation, &ClientAction::Show), failed);
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
--- a/crates/fleet/tests/rules/fixtures.rs
+++ b/crates/fleet/tests/rules/fixtures.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use fleet::model::{FleetConfig, MinionReport, PoolConfig, QueueConfig, TeamConfig};
-use jobs::Resources;
+use jobs::{QueueTerms, Resources};
 use state::{AcceleratorCount, Mebibytes, Millicores, Millis, PoolId};
 
 /// Builds a configuration with pools `pool-0`, `pool-1` and so on, a queue for each of them, and
@@ -16,6 +16,11 @@
     FleetConfig { version: 1, queues, pools, teams }
 }
 
+/// Builds the terms of every queue.
+pub fn build_terms() -> QueueTerms {
+    QueueTerms { priority: 0, max_attempts: 3, slack_factor: 1.6, latency_objective: Millis(600) }
+}
+
 /// Builds the queue of a pool, with the same number as the pool.
 fn build_queue(number: usize) -> QueueConfig {
     QueueConfig {
@@ -23,10 +28,7 @@
         host: "host.example".into(),
         prefix: format!("/q{number}/").into(),
         pool: format!("pool-{number}").parse().expect("valid name"),
-        priority: 0,
-        max_attempts: 3,
-        slack_factor: 1.6,
-        latency_objective: Millis(600),
+        terms: build_terms(),
         is_open: false,
         requires_ticket: false,
     }
--- a/crates/fleet/tests/rules/simulation/submitters.rs
+++ b/crates/fleet/tests/rules/simulation/submitters.rs
@@ -14,7 +14,7 @@
             team,
             spec,
             pools: [queue.pool.clone()].into(),
-            max_attempts: queue.max_attempts,
+            max_attempts: queue.terms.max_attempts,
             is_accepted: false,
             is_unsubmitted: true,
             is_cancel_sent: false,
@@ -30,10 +30,11 @@
         }
     }
 
-    fn find_queue(&self, job: &JobId) -> QueueId {
+    /// Returns the queue to which a job's path leads; `None` if a version has removed it.
+    fn find_queue(&self, job: &JobId) -> Option<QueueId> {
         let (host, path, _) = &self.job_routes[job];
-        let (queue, _) = self.config.route(host, path).expect("known queue");
-        queue.queue.clone()
+        let (queue, _) = self.config.route(host, path)?;
+        Some(queue.queue.clone())
     }
 
     /// Records for each job the pool to which the present configuration sends its path.
@@ -64,9 +65,10 @@
         };
         let timeout = Millis(REQUEST_TIMEOUT_MS);
         // Alternate requests name the queue instead of host and path.
-        let target = match reply_token.0 % 2 {
-            0 => ClientTarget::Route { host, path },
-            _ => ClientTarget::Queue { queue: self.find_queue(job), job: job.as_str().into() },
+        let queue = self.find_queue(job).filter(|_| reply_token.0 % 2 == 1);
+        let target = match queue {
+            None => ClientTarget::Route { host, path },
+            Some(queue) => ClientTarget::Queue { queue, job: job.as_str().into() },
         };
         let call = ClientCall { reply_token, target, key, timeout, action };
         self.pending_requests.insert(reply_token, (job.clone(), kind, self.now));
@@ -145,6 +147,10 @@
                     self.schedule_request(&job, RequestKind::Cancel, 500);
                 }
             }
+            // The operator has removed the queue; it may come back.
+            (RequestKind::Poll, ClientAnswer::NoQueue) => {
+                self.schedule_request(&job, RequestKind::Poll, 700)
+            }
             (kind, ClientAnswer::Unknown | ClientAnswer::NotDone { .. }) => {
                 self.schedule_request(&job, kind, 300);
             }
--- a/crates/fleet/tests/rules/slow_links.rs
+++ b/crates/fleet/tests/rules/slow_links.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use state::{JobId, PoolId, QueueId};
 
+use crate::fixtures::build_terms;
 use crate::seeded_runs::build_config;
 use crate::simulation::Simulation;
 
@@ -27,6 +28,7 @@
         let job: JobId = format!("{number:016x}").parse().expect("valid name");
         let accepted = AcceptedJob {
             queue: queue.clone(),
+            terms: build_terms(),
             team: None,
             accepted_ms: 0,
             spec: JobSpec {
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -84,11 +84,30 @@
     pub timetable: Option<Timetable>,
 }
 
+/// Terms on which a queue's jobs run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QueueTerms {
+    /// Priority of the queue; 0 is the highest.
+    pub priority: u32,
+    /// Number of failed runs after which a job fails.
+    pub max_attempts: u32,
+    /// Factor over the job's critical path; the latency objective is their product plus
+    /// `latency_objective`.
+    pub slack_factor: f64,
+    /// Part of the latency objective that is added to the product with `slack_factor`.
+    pub latency_objective: Millis,
+}
+
 /// Stored record of an accepted job; the record never changes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// The job keeps the terms of its queue, since a later configuration may not have the queue any
+/// more.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AcceptedJob {
     /// Queue to which the job was submitted.
     pub queue: QueueId,
+    /// Terms of the queue when the job was accepted.
+    pub terms: QueueTerms,
     /// Team of the submitter's key; `None` on queues that need no key.
     pub team: Option<TeamId>,
     /// Time of acceptance, in milliseconds since 1970.
