Accepted jobs run to their end although no queue leads to their pool any more

Cause: the owner ranked a job only if the configuration had its queue or another one that led to its pool. Evidence: the new test starts three of six tasks, and the other three only when the queue is put back. Nothing of the ranking depends on the configuration since jobs keep their terms.

Change: every job whose runs are known is ranked. A changed configuration requests a placement pass and no longer makes the owner check all its jobs. Without any configuration nothing is placed, as before: the teams' limits are unknown.

--- a/crates/fleet/src/pool/job_table.rs
+++ b/crates/fleet/src/pool/job_table.rs
@@ -104,7 +104,7 @@
     }
 
     /// Notes all jobs for the next refresh, after a change that concerns every job.
-    pub(super) fn mark_all_changed(&mut self) {
+    fn mark_all_changed(&mut self) {
         self.changed.extend(self.jobs.keys().cloned());
     }
 
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -141,7 +141,7 @@
     pass: PassSchedule,
     minions: BTreeMap<MinionId, OwnedMinion>,
     hold_queue: HoldQueue,
-    /// Version of the configuration that the jobs were last checked against.
+    /// Version of the configuration after which a placement pass was last requested.
     config_version: u64,
     save: SaveState,
     limits: LocalAllocation,
@@ -350,12 +350,11 @@
         }
     }
 
-    /// Checks all jobs again after a change of the configuration.
+    /// Requests a placement pass after a change of the configuration, which may raise a limit.
     fn note_new_config(&mut self, context: &StepContext) {
         let version = context.shared.config.as_ref().map_or(0, |config| config.version);
         if version != self.config_version {
             self.config_version = version;
-            self.jobs.mark_all_changed();
             self.pass.request();
         }
     }
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -20,7 +20,6 @@
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::event::{Measurement, WaitCause};
 use crate::io::MinionCall;
-use crate::model::FleetConfig;
 use crate::timing::START_VALIDITY;
 
 /// Number of long-running tasks on a minion at which the minion is no longer preferred for
@@ -55,8 +54,11 @@
 impl PoolOwner {
     /// Runs a placement pass over all jobs with ready tasks.
     pub(super) fn place_tasks(&mut self, context: &mut StepContext) {
-        let Some(config) = context.shared.config.as_ref() else { return };
-        self.rank_changed_jobs(context, config);
+        // The teams' limits are unknown without a configuration.
+        if context.shared.config.is_none() {
+            return;
+        }
+        self.rank_changed_jobs(context);
         self.limits.begin_placement_pass();
         let mut capacity = self.usable_capacity(context);
         let queue = std::mem::take(&mut self.ready_queue);
@@ -89,19 +91,16 @@
         self.ready_queue = queue;
     }
 
-    /// Updates the queue of ready jobs for the jobs that have changed.
-    fn rank_changed_jobs(&mut self, context: &StepContext, config: &FleetConfig) {
+    /// Updates the queue of ready jobs for the jobs that have changed. A job is placed whether or not
+    /// the configuration still has its queue.
+    fn rank_changed_jobs(&mut self, context: &StepContext) {
         let wall_ms = context.clock.wall_ms;
         self.work.add(self.ready_queue.demote_late_jobs(wall_ms));
-        // Jobs that were accepted through a removed queue are still placed, as long as
-        // another queue leads to the pool.
-        let has_queue = config.queues.iter().any(|queue| queue.pool == self.pool);
         for job in self.jobs.take_unranked() {
             self.work.add(1);
             let previous = self.ready_queue.remove(&job);
             let Some(owned) = self.jobs.get(&job) else { continue };
-            let queue = config.queue(&owned.queue);
-            if !owned.may_have_unknown_runs && (queue.is_some() || has_queue) {
+            if !owned.may_have_unknown_runs {
                 self.ready_queue.insert(job, owned, previous, wall_ms);
             }
         }
--- a/crates/fleet/tests/rules/accepted_jobs.rs
+++ b/crates/fleet/tests/rules/accepted_jobs.rs
@@ -236,3 +236,27 @@
     assert_eq!(ask_daemons(&mut simulation, &ClientAction::Show), failed);
     assert_eq!(simulation.checker.violations, Vec::new());
 }
+
+/// Guards against accepted jobs whose next steps never start because no queue leads to their pool
+/// any more.
+#[rstest]
+fn running_job_is_completed_after_its_pools_last_queue_is_removed(
+    #[values(false, true)] is_owner_killed: bool,
+) {
+    let mut simulation = build_simulation(1);
+    plan_job(&mut simulation, build_spec(), None);
+    simulation.run_until(SUBMITTED_MS + 100);
+    let removed = remove_queue(&mut simulation, false);
+    if is_owner_killed {
+        simulation.run_until(simulation.now + 100);
+        let owner = find_owner(&simulation, "pool-0");
+        simulation.kill_daemon(owner);
+        simulation.start_daemon(owner);
+    }
+    simulation.run_until(SUBMITTED_MS + 3 * JOB_DURATION_MS);
+    assert_eq!(simulation.checker.start_count, 6);
+    restore_queue(&mut simulation, removed);
+    let complete = vec![ClientAnswer::Phase(JobPhase::Complete); DAEMON_COUNT];
+    assert_eq!(ask_daemons(&mut simulation, &ClientAction::Show), complete);
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
