The minion on a VM is the latest one, and is drained only by a recent answer

Cause: a report stays for seconds after its minion has crashed. The owner went from a VM to a minion by any report that names the VM, and a minion without runs counted as drained although it had not answered for seconds. The lines did not name the minion; now they do.

Change: the registry leaves out the report of a minion if a later one is listed on its VM, in any pool (log: superseded), so waves, offers, counts and capacity see one minion a VM.

--- a/crates/fleet/src/pool/demand.rs
+++ b/crates/fleet/src/pool/demand.rs
@@ -73,7 +73,7 @@
             .demand
             .draining_vms
             .iter()
-            .filter(|vm| self.minion_of_vm(vm).is_some_and(OwnedMinion::is_drained))
+            .filter(|vm| self.minion_of_vm(vm).is_some_and(|minion| minion.is_drained(now)))
             .cloned()
             .collect();
         let is_first_request = requested_vms > 0 && self.demand.written_demand.baseline == 0;
--- a/crates/fleet/src/pool/maintenance.rs
+++ b/crates/fleet/src/pool/maintenance.rs
@@ -90,15 +90,18 @@
         let doc = wave_progress_of(context, order.wave);
         let down = doc.vms.values().filter(|mark| **mark == VmMaintenance::Down).count();
         let allowed = (order.max_down as usize).saturating_sub(down);
-        let waiting = self.list_waiting_vms(order, &doc);
+        let waiting = self.list_waiting_vms(context.clock.now, order, &doc);
         let drained = waiting.iter().filter(|waiting| waiting.is_drained).take(allowed);
-        let drained: Vec<VmId> = drained.map(|waiting| waiting.vm.clone()).collect();
+        let drained: Vec<&WaitingVm> = drained.collect();
         if !drained.is_empty() {
             let mut next = doc;
-            for vm in drained {
-                let inputs = format!("wave {}, {down} of {} down", order.wave, order.max_down);
-                context.out.log("upkeep", &vm, inputs, "emptied");
-                next.vms.insert(vm, VmMaintenance::Down);
+            for WaitingVm { vm, minion, .. } in drained {
+                let inputs = format!(
+                    "wave {}, {minion} has no runs, {down} of {} down",
+                    order.wave, order.max_down
+                );
+                context.out.log("upkeep", vm, inputs, "emptied");
+                next.vms.insert(vm.clone(), VmMaintenance::Down);
             }
             self.maintenance.is_write_in_flight = true;
             let commit = wave_commit(self.owner_key(), self.fencing_token, order, revision, &next);
@@ -116,7 +119,12 @@
     }
 
     /// Lists the wave's VMs of this pool without a mark, those with the least load first.
-    fn list_waiting_vms(&self, order: &WaveOrder, doc: &WaveProgressDoc) -> Vec<WaitingVm> {
+    fn list_waiting_vms(
+        &self,
+        now: Moment,
+        order: &WaveOrder,
+        doc: &WaveProgressDoc,
+    ) -> Vec<WaitingVm> {
         self.work.add(self.minions.len());
         let wave_vms: BTreeSet<&VmId> = order.vms.iter().collect();
         let to_waiting = |minion: &OwnedMinion| {
@@ -126,7 +134,7 @@
                 vm: vm.clone(),
                 minion: minion.report.minion.clone(),
                 load: minion.used.processor.0,
-                is_drained: minion.is_being_drained && minion.is_drained(),
+                is_drained: minion.is_being_drained && minion.is_drained(now),
             })
         };
         let mut waiting: Vec<WaitingVm> = self.minions.values().filter_map(to_waiting).collect();
@@ -168,7 +176,7 @@
             && !minion.is_being_drained
         {
             minion.is_being_drained = true;
-            let inputs = format!("wave {}, {} runs", order.wave, minion.runs.len());
+            let inputs = format!("wave {}, {} runs on {id}", order.wave, minion.runs.len());
             context.out.log("upkeep", vm, inputs, "emptying");
         }
         self.drain_minion(context, id, true);
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -239,9 +239,13 @@
     }
 
     /// Whether the minion has no runs and lists no finished run, so that its VM can be
-    /// taken down without loss.
-    pub(super) fn is_drained(&self) -> bool {
-        self.is_fenced && self.runs.is_empty() && self.processed_end == self.acknowledged_end
+    /// taken down without loss. A minion that has not answered for some time shows nothing of its
+    /// VM, which may run another minion by now.
+    pub(super) fn is_drained(&self, now: Moment) -> bool {
+        self.is_fenced
+            && self.has_recent_contact(now)
+            && self.runs.is_empty()
+            && self.processed_end == self.acknowledged_end
     }
 
     /// Whether the minion's last answer is recent enough to describe its current state.
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -3,10 +3,14 @@
 //! The reports change continually, but few of the changes are relevant here. One full
 //! reading every [`REGISTRY_INTERVAL`] therefore costs less than a watch of each change.
 //! Stale readings are not used, because a draining minion must be noticed in time.
+//!
+//! A report stays for some seconds after its minion is gone. A VM runs one minion at a time, so a
+//! report of an earlier minion on the VM of a later one is left out: whoever asks for the minion on
+//! a VM would else find one without runs beside the one that has them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use state::{MinionId, Moment};
+use state::{MinionId, Moment, VmId};
 
 use crate::event::Clock;
 use crate::io::{ItemValue, StoreAnswer, StoreCall};
@@ -19,6 +23,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Registry {
     pub(crate) reports: BTreeMap<MinionId, MinionReport>,
+    /// Minions whose reports were left out of that reading.
+    superseded: BTreeSet<MinionId>,
     /// Time at which the latest complete reading was requested.
     pub(crate) read_at: Option<Moment>,
     /// Time from which a reading must have been requested for starts by its reports.
@@ -86,8 +92,35 @@
             return false;
         }
         self.reports = std::mem::take(&mut self.pending_reports);
+        self.remove_superseded(out);
         self.read_at = Some(self.reading_began_at);
         self.next_call_at = clock.now + REGISTRY_INTERVAL;
         true
     }
+
+    /// Removes the reports of minions on whose VM a later minion is listed, in any pool.
+    fn remove_superseded(&mut self, out: &mut Outbox) {
+        let mut latest: BTreeMap<&VmId, &MinionReport> = BTreeMap::new();
+        for report in self.reports.values() {
+            let Some(vm) = &report.vm else { continue };
+            let known = latest.entry(vm).or_insert(report);
+            if report.minion_incarnation > known.minion_incarnation {
+                *known = report;
+            }
+        }
+        let mut superseded = BTreeSet::new();
+        for report in self.reports.values() {
+            let Some(current) = report.vm.as_ref().and_then(|vm| latest.get(vm)) else { continue };
+            if report.minion_incarnation >= current.minion_incarnation {
+                continue;
+            }
+            if !self.superseded.contains(&report.minion) {
+                let inputs = format!("{} is listed on its VM", current.minion);
+                out.log("minion-report", &report.minion, inputs, "superseded");
+            }
+            superseded.insert(report.minion.clone());
+        }
+        self.reports.retain(|minion, _| !superseded.contains(minion));
+        self.superseded = superseded;
+    }
 }
--- a/crates/fleet/tests/rules/handover.rs
+++ b/crates/fleet/tests/rules/handover.rs
@@ -1,6 +1,6 @@
 //! Runs in which the owner of a pool stops while it drains VMs for a maintenance wave.
 
-use jobs::{JobSpec, StepSpec, TaskName};
+use jobs::{JobSpec, StepSpec};
 use rstest::rstest;
 use state::{JobId, Millicores, VmId};
 
@@ -39,14 +39,6 @@
     "0000000000001000".parse().expect("valid name")
 }
 
-fn count_serving(simulation: &Simulation) -> u32 {
-    let build_task = |index| TaskName { job: job_name(), occurrence: 0, step: 0, index };
-    let is_served = |task: &TaskName| {
-        simulation.minions.values().any(|minion| minion.serves(task, simulation.now))
-    };
-    (0..TASK_COUNT).map(build_task).filter(is_served).count() as u32
-}
-
 fn list_vms_with_runs(simulation: &Simulation) -> Vec<VmId> {
     let minions = simulation.minions.values().filter(|minion| !minion.runs.is_empty());
     minions.filter_map(|minion| minion.report.vm.clone()).collect()
@@ -63,7 +55,7 @@
 #[rstest]
 fn new_owner_waits_for_the_stops_of_the_previous_one(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
     let mut simulation = build_simulation(seed);
-    assert_eq!(count_serving(&simulation), TASK_COUNT);
+    assert_eq!(simulation.count_serving(&job_name()), TASK_COUNT);
     let [first_vm, second_vm, ..] = &list_vms_with_runs(&simulation)[..] else {
         panic!("the tasks are on one VM");
     };
@@ -79,7 +71,7 @@
     let until = simulation.now + WATCHED_MS;
     while simulation.now < until {
         simulation.run_until(simulation.now + 5);
-        let serving = count_serving(&simulation);
+        let serving = simulation.count_serving(&job_name());
         assert!(serving >= TASK_COUNT - 1, "{serving} tasks serve at {}", simulation.now);
     }
 }
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -19,6 +19,7 @@
 mod owner_work;
 mod ownership;
 mod reads;
+mod replaced_minions;
 mod saving;
 mod seeded_runs;
 mod simulation;
--- /dev/null
+++ b/crates/fleet/tests/rules/replaced_minions.rs
@@ -0,0 +1,123 @@
+//! Runs in which a minion is gone and the next one begins on its VM, while the registry still has
+//! the report of the first one or a VM of a wave waits for its maintenance.
+
+use fleet::io::ItemValue;
+use fleet::{OwnKey, PoolDemand, StoreKey};
+use jobs::{JobSpec, StepSpec};
+use rstest::rstest;
+use state::{JobId, Millicores, MinionId, VmId};
+
+use crate::seeded_runs::{DAEMON_COUNT, build_config, build_report};
+use crate::simulation::{PlannedJob, Simulation};
+
+/// Number of VMs of the pool.
+const MINIONS: usize = 8;
+/// Number of tasks of the long-running job, of which one may be missing.
+const TASK_COUNT: u32 = 3;
+/// Processor demand of each task.
+const TASK_DEMAND: Millicores = Millicores(1_300);
+/// Time from the crash of a minion until the next one begins on its VM, in milliseconds.
+const RESTART_MS: u64 = 1_000;
+/// Time in which the tasks of the job are at work, in milliseconds.
+const STARTUP_MS: u64 = 3_000;
+/// Time for which the simulation is watched, in milliseconds.
+const WATCHED_MS: u64 = 15_000;
+
+/// Builds a pool of which only the first VM has room for several tasks of the job.
+fn build_simulation(seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(seed, DAEMON_COUNT, build_config());
+    for number in 0..MINIONS {
+        let mut report = build_report(0, number);
+        if number > 0 {
+            report.capacity.processor = TASK_DEMAND;
+        }
+        simulation.add_minion(report);
+    }
+    simulation.run_until(6_000);
+    simulation
+}
+
+fn first_minion() -> MinionId {
+    "i-00".parse().expect("valid name")
+}
+
+fn first_vm() -> VmId {
+    "vm-00".parse().expect("valid name")
+}
+
+fn job_name() -> JobId {
+    "5c0e7a21d94b36f8".parse().expect("valid name")
+}
+
+/// Ends the first minion; a minion with another id begins on its VM, and the registry keeps the
+/// report of the first one.
+fn replace_first_minion(simulation: &mut Simulation) {
+    simulation.faults.keeps_reports = true;
+    simulation.crash_minion(&first_minion());
+    simulation.run_until(simulation.now + RESTART_MS);
+    simulation.start_minion_on_vm(&first_vm());
+    simulation.run_until(simulation.now + RESTART_MS);
+}
+
+/// Submits a long-running job.
+fn submit_job(simulation: &mut Simulation) {
+    let mut step = StepSpec { tasks: TASK_COUNT, long_running: true, ..StepSpec::default() };
+    step.demand.processor = TASK_DEMAND;
+    step.may_miss = 1;
+    let spec = JobSpec { payload: "text".into(), steps: vec![step], timetable: None };
+    let team = "team-0".parse().expect("valid name");
+    simulation.plan_job(0, job_name(), PlannedJob { team, spec, queue: 0, cancel_after: None });
+}
+
+/// Runs on, and checks that at most one task of the job is missing once all have been at work.
+fn assert_tasks_serve(simulation: &mut Simulation, duration: u64) {
+    let until = simulation.now + duration;
+    let mut have_served = false;
+    while simulation.now < until {
+        simulation.run_until(simulation.now + 5);
+        let serving = simulation.count_serving(&job_name());
+        have_served |= serving == TASK_COUNT;
+        assert!(
+            !have_served || serving >= TASK_COUNT - 1,
+            "{serving} tasks serve at {}",
+            simulation.now
+        );
+    }
+    assert!(have_served);
+}
+
+/// Guards against a VM whose maintenance ends the tasks of its minion, since the report of an
+/// earlier minion on the VM is still listed and has no runs.
+#[rstest]
+fn vm_is_not_drained_by_the_report_of_an_earlier_minion(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut simulation = build_simulation(seed);
+    replace_first_minion(&mut simulation);
+    submit_job(&mut simulation);
+    simulation.run_until(simulation.now + STARTUP_MS);
+    assert_eq!(simulation.count_serving(&job_name()), TASK_COUNT);
+    simulation.order_wave(1, vec![first_vm()], 1);
+    assert_tasks_serve(&mut simulation, WATCHED_MS);
+    assert!(simulation.cloud.has_begun_maintenance(1, &first_vm()));
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
+
+/// Guards against a VM that is offered and moved with the tasks of its minion, since the report of
+/// an earlier minion on the VM is counted as a further VM without tasks.
+#[test]
+fn vm_with_two_reports_is_not_offered() {
+    let mut simulation = build_simulation(1);
+    // The pool has requested VMs before, so it offers what it has in addition to these.
+    let demand = PoolDemand { baseline: MINIONS as u32, ..PoolDemand::default() };
+    let value = serde_json::to_vec(&demand).expect("a record").into();
+    let key = StoreKey::Own(OwnKey::Need("pool-0".parse().expect("valid name")));
+    simulation.store.put(key, ItemValue::Own(value), None);
+    for daemon in 0..DAEMON_COUNT {
+        simulation.kill_daemon(daemon);
+        simulation.start_daemon(daemon);
+    }
+    simulation.run_until(simulation.now + 6_000);
+    replace_first_minion(&mut simulation);
+    submit_job(&mut simulation);
+    assert_tasks_serve(&mut simulation, WATCHED_MS);
+    assert_eq!(simulation.cloud.move_count, 0);
+}
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -403,6 +403,15 @@
         self.now = self.now.max(until);
     }
 
+    /// Counts the tasks of a job's first step that are at work.
+    pub fn count_serving(&self, job: &JobId) -> u32 {
+        let build_task = |index| TaskName { job: job.clone(), occurrence: 0, step: 0, index };
+        let is_served =
+            |task: &TaskName| self.minions.values().any(|minion| minion.serves(task, self.now));
+        let tasks = 0..self.checker.jobs[job].spec.steps[0].tasks;
+        tasks.map(build_task).filter(is_served).count() as u32
+    }
+
     fn read_clocks(&self) -> Clock {
         Clock { now: Moment(self.now), wall_ms: WALL_CLOCK_OFFSET_MS + self.now }
     }
--- a/crates/fleet/tests/rules/simulation/environment.rs
+++ b/crates/fleet/tests/rules/simulation/environment.rs
@@ -23,8 +23,8 @@
         self.checker.draining_since.remove(minion);
     }
 
-    /// Adds a new minion on a VM that is up again, unless the VM is in the spare pool.
-    pub(super) fn start_minion_on_vm(&mut self, name: &VmId) {
+    /// Adds a new minion on a VM that is up, unless the VM is in the spare pool.
+    pub fn start_minion_on_vm(&mut self, name: &VmId) {
         let pool = self.cloud.vms[name].pool.clone();
         if self.config.pools[&pool].is_spare {
             return;
