A minion whose last hold failed gets no starts until a hold is answered

Callers saw: tasks that were sent to a minion that was gone waited for its leases, some 6 s, while others had room.

Cause: a failed hold kept starts away for 250 ms only. The next hold is sent then, and while it waits for its timeout the minion counted as usable again. Evidence: a trace of the simulation, in which all three starts of a job went to a minion that had crashed 2 s before, as its third hold was in flight.

Change: a minion is not usable from a failed hold to the next answered one.

--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -106,7 +106,8 @@
     pub(super) acknowledged_end: u64,
     /// Whether a hold is not answered yet.
     pub(super) is_hold_in_flight: bool,
-    /// Whether the last completed hold failed or was not answered.
+    /// Whether the last completed hold failed or was not answered. No task is started on the minion
+    /// until a hold is answered again.
     pub(super) is_unresponsive: bool,
     /// Earliest time of the next hold.
     pub(super) next_hold_at: Moment,
@@ -154,7 +155,7 @@
             Some(UnusableReason::Draining)
         } else if !self.is_fenced || !self.is_in_roster || self.clock.is_none() {
             Some(UnusableReason::Unconfirmed)
-        } else if now < self.starts_paused_until {
+        } else if now < self.starts_paused_until || self.is_unresponsive {
             Some(UnusableReason::Paused)
         } else {
             None
--- a/crates/fleet/tests/rules/replaced_minions.rs
+++ b/crates/fleet/tests/rules/replaced_minions.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use state::{JobId, Millicores, MinionId, VmId};
 
-use crate::seeded_runs::{DAEMON_COUNT, build_config, build_report};
+use crate::seeded_runs::{DAEMON_COUNT, JobBatch, build_config, build_report, submit_batch};
 use crate::simulation::{PlannedJob, Simulation};
 
 /// Number of VMs of the pool.
@@ -86,6 +86,28 @@
     assert!(have_served);
 }
 
+/// Returns whether a start was ordered to a minion.
+fn has_start_on(simulation: &Simulation, minion: &MinionId) -> bool {
+    let mut lines = simulation.order_decisions.iter().map(|(_, line)| line);
+    lines.any(|line| line.decision == "start" && *line.outcome == *minion.as_str())
+}
+
+/// Guards against starts on a minion that is gone, at the times at which a hold to it is not
+/// answered yet.
+#[test]
+fn minion_that_does_not_answer_gets_no_starts() {
+    let mut simulation = build_simulation(1);
+    simulation.faults.keeps_reports = true;
+    simulation.crash_minion(&first_minion());
+    simulation.run_until(simulation.now + 2 * RESTART_MS);
+    let processor = Millicores(300);
+    let batch = JobBatch { jobs: 40, tasks: 1, processor, first_delay: 0, interval: 50 };
+    submit_batch(&mut simulation, &batch);
+    simulation.run_until(simulation.now + STARTUP_MS);
+    assert!(simulation.checker.start_count > 30, "{}", simulation.checker.start_count);
+    assert!(!has_start_on(&simulation, &first_minion()));
+}
+
 /// Guards against a VM whose maintenance ends the tasks of its minion, since the report of an
 /// earlier minion on the VM is still listed and has no runs.
 #[rstest]
