A VM that a wave has marked as down gets no starts until its maintenance has ended

Callers saw: tasks that were started on a VM ended together when its maintenance began, since the VM had been marked as down before.

Cause: only the drained minion's flag kept starts away. A minion that began on the VM between the mark and the order, and every minion of a new owner, had no flag. Evidence: the new test, with the VM controller's orders held up: both forms start the tasks on the marked VM, and they end together.

Change: the owner reads the marks of all ordered waves at each tick and when it has loaded; a minion on a marked VM is not usable.

Result: vm_that_is_marked_as_down_gets_no_starts failed before in both forms (0 tasks serve) and passes.

--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -219,6 +219,7 @@
             self.stage.has_jobs = true;
             self.adopt_demand(context);
             self.queue_ended_jobs(context);
+            self.note_down_vms(context);
             let inputs = format!(
                 "{} jobs, {} unconfirmed roster minions, {} after taking ownership",
                 self.jobs.len(),
--- a/crates/fleet/src/pool/maintenance.rs
+++ b/crates/fleet/src/pool/maintenance.rs
@@ -61,6 +61,15 @@
     next_write_at: Moment,
     /// Incomplete waves by number.
     waves: BTreeMap<u64, PoolWave>,
+    /// VMs that are marked as down in a wave, whichever owner marked them.
+    down_vms: BTreeSet<VmId>,
+}
+
+impl MaintenanceState {
+    /// Whether a VM is marked as down, so that whatever runs on it may end at any time.
+    pub(super) fn is_marked_down(&self, vm: Option<&VmId>) -> bool {
+        vm.is_some_and(|vm| self.down_vms.contains(vm))
+    }
 }
 
 impl PoolOwner {
@@ -69,6 +78,7 @@
         if !context.is_ownership_valid || !self.stage.is_loaded() {
             return;
         }
+        self.note_down_vms(context);
         self.drain_leaving_minions(context);
         let incomplete = incomplete_waves(context);
         self.cancel_drains(&incomplete);
@@ -77,6 +87,17 @@
         }
     }
 
+    /// Notes which VMs the waves' records mark as down. A mark stands until the maintenance has ended,
+    /// so it also holds for minions that this owner finds after the VM was marked.
+    pub(super) fn note_down_vms(&mut self, context: &StepContext) {
+        let shared = context.shared;
+        let ordered = |(wave, _): &(&u64, _)| shared.wave_orders.contains_key(wave);
+        let docs = shared.wave_progress.iter().filter(ordered);
+        let marks = docs.flat_map(|(_, doc)| &doc.record.vms);
+        let down = marks.filter(|(_, mark)| **mark == VmMaintenance::Down);
+        self.maintenance.down_vms = down.map(|(vm, _)| vm.clone()).collect();
+    }
+
     /// Marks drained VMs as down as far as the wave's bound allows, and drains the next VMs.
     fn advance_wave(&mut self, context: &mut StepContext, order: &WaveOrder) {
         let revision = context.shared.wave_progress.get(&order.wave).map(|doc| doc.revision);
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -113,7 +113,10 @@
             self.work.add(1);
             let is_evacuated =
                 context.shared.evacuated_data_centres.contains(&minion.report.data_centre);
-            let reason = is_evacuated.then_some(UnusableReason::Evacuated);
+            let is_marked_down = self.maintenance.is_marked_down(minion.report.vm.as_ref());
+            let reason = is_evacuated
+                .then_some(UnusableReason::Evacuated)
+                .or(is_marked_down.then_some(UnusableReason::Draining));
             match reason.or_else(|| minion.unusable_reason(context.clock.now)) {
                 None => capacity.add_minion(id.clone(), &minion.free_capacity()),
                 Some(reason) => capacity.note_unusable(reason, &minion.free_capacity()),
--- a/crates/fleet/tests/rules/replaced_minions.rs
+++ b/crates/fleet/tests/rules/replaced_minions.rs
@@ -143,3 +143,27 @@
     assert_tasks_serve(&mut simulation, WATCHED_MS);
     assert_eq!(simulation.cloud.move_count, 0);
 }
+
+/// Guards against tasks that start on a VM that is about to go down: the VM was marked while its
+/// minion was gone, or the pool changes its owner.
+#[rstest]
+fn vm_that_is_marked_as_down_gets_no_starts(#[values(false, true)] has_new_owner: bool) {
+    let mut simulation = build_simulation(1);
+    simulation.faults.is_cloud_down = true;
+    simulation.order_wave(1, vec![first_vm()], 1);
+    simulation.run_until(simulation.now + 1_000);
+    if has_new_owner {
+        for daemon in 0..DAEMON_COUNT {
+            simulation.kill_daemon(daemon);
+            simulation.start_daemon(daemon);
+        }
+        simulation.run_until(simulation.now + 6_000);
+    } else {
+        replace_first_minion(&mut simulation);
+    }
+    submit_job(&mut simulation);
+    simulation.run_until(simulation.now + STARTUP_MS);
+    simulation.faults.is_cloud_down = false;
+    assert_tasks_serve(&mut simulation, WATCHED_MS);
+    assert!(simulation.cloud.has_begun_maintenance(1, &first_vm()));
+}
