An offered VM gets no starts when its minion begins a new incarnation

Callers saw: tasks that were started on a VM that its pool had offered ended when the VM was moved.

Cause: what is known of a minion ends with its incarnation, and with it the flag that its VM drains, though the VM is still offered.

--- a/crates/fleet/tests/rules/replaced_minions.rs
+++ b/crates/fleet/tests/rules/replaced_minions.rs
@@ -167,3 +167,39 @@
     assert_tasks_serve(&mut simulation, WATCHED_MS);
     assert!(simulation.cloud.has_begun_maintenance(1, &first_vm()));
 }
+
+/// Guards against tasks that start on an offered VM because its minion has begun a new incarnation.
+#[test]
+fn offered_vm_gets_no_starts_in_the_next_incarnation_of_its_minion() {
+    let mut simulation = build_simulation(1);
+    let demand = PoolDemand {
+        offered: [first_vm()].into(),
+        baseline: 1 + MINIONS as u32,
+        ..PoolDemand::default()
+    };
+    let value = serde_json::to_vec(&demand).expect("a record").into();
+    let key = StoreKey::Own(OwnKey::Need("pool-0".parse().expect("valid name")));
+    simulation.faults.is_cloud_down = true;
+    simulation.store.put(key, ItemValue::Own(value), None);
+    for minion in simulation.minions.values_mut() {
+        minion.report.capacity.processor = Millicores(16_000);
+    }
+    for daemon in 0..DAEMON_COUNT {
+        simulation.kill_daemon(daemon);
+        simulation.start_daemon(daemon);
+    }
+    simulation.run_until(simulation.now + 6_000);
+    simulation.crash_minion(&first_minion());
+    simulation.run_until(simulation.now + RESTART_MS);
+    simulation.restart_minion(&first_minion());
+    simulation.run_until(simulation.now + RESTART_MS);
+    let processor = Millicores(300);
+    let batch = JobBatch { jobs: 8, tasks: 1, processor, first_delay: 0, interval: 100 };
+    submit_batch(&mut simulation, &batch);
+    simulation.run_until(simulation.now + STARTUP_MS);
+    assert!(simulation.checker.start_count > 0);
+    assert!(!has_start_on(&simulation, &first_minion()));
+    simulation.faults.is_cloud_down = false;
+    simulation.run_until(simulation.now + WATCHED_MS);
+    assert_eq!(simulation.cloud.move_count, 1);
+}
