A new owner does not wait for minions that are known not to run

Cause: a new owner starts no task of an earlier one before every minion of the stored roster has answered, or all leases have certainly expired (6.68 s). The roster named minions that could not answer: drained ones whose VM had gone down, and rows that were kept after an earlier owner had waited for them.

Change: a drained idle minion that gets no starts leaves the roster before its VM goes down; a row has the VM, and the earlier minions of a VM are not waited for once a later one has answered; rows that were waited for in vain are kept for their saved ends and not waited for again. A superseded minion is logged by its pool's owner instead of by every daemon.

--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -144,6 +144,9 @@
             // Leases of earlier owners end at most this long after the answer.
             minion.extend_lease(clock_ms + RUN_LEASE_DURATION.0, now);
             self.save.is_roster_dirty = true;
+            if let Some(vm) = &minion.report.vm {
+                self.stage.confirm_earlier_minions(vm, minion.report.minion_incarnation);
+            }
             // The minion lists every finished run except those that an earlier owner has
             // acknowledged.
             let lowest_listed_end = ended.iter().map(|row| row.number).min().unwrap_or(u64::MAX);
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use jobs::{AcceptedJob, JobPhase};
-use state::{JobId, Millis, MinionId, Moment, Revision};
+use state::{JobId, Millis, MinionId, Moment, Revision, VmId};
 
 use super::job::OwnedJob;
 use super::{PoolCall, PoolOwner, StepContext};
@@ -51,6 +51,18 @@
         self.has_roster && self.has_jobs && self.has_progress
     }
 
+    /// Whether a minion that has not reported its runs to this owner may have some.
+    fn awaits_minions(&self) -> bool {
+        self.unconfirmed_minions.values().any(|row| row.may_have_runs)
+    }
+
+    /// Confirms the earlier minions of a VM, of which a minion with a later incarnation has answered:
+    /// a VM runs one minion at a time.
+    pub(super) fn confirm_earlier_minions(&mut self, vm: &VmId, incarnation: u64) {
+        self.unconfirmed_minions
+            .retain(|_, row| row.vm.as_ref() != Some(vm) || row.minion_incarnation >= incarnation);
+    }
+
     /// Whether no run of an earlier owner can still execute without being listed.
     pub(super) fn has_resolved_unknown_runs(&self) -> bool {
         self.has_resolved_unknown_runs
@@ -291,6 +303,16 @@
         self.jobs.insert(job.clone(), owned);
     }
 
+    /// Logs from when on tasks that an earlier owner may have started are started again, and which
+    /// minions have not reported their runs.
+    fn log_resolution(&self, context: &mut StepContext) {
+        let awaited = self.stage.unconfirmed_minions.iter().filter(|(_, row)| row.may_have_runs);
+        let awaited: Vec<&str> = awaited.map(|(minion, _)| minion.as_str()).collect();
+        let waited = context.clock.now - self.owned_since;
+        let inputs = format!("{waited} after taking ownership, no answer of {awaited:?}");
+        context.out.log("earlier-runs", &self.pool, inputs, "known");
+    }
+
     pub(super) fn log_unreadable_record(
         &self,
         context: &mut StepContext,
@@ -311,9 +333,11 @@
             RUN_LEASE_DURATION.0 + RUN_LEASE_DURATION.0 * CLOCK_ERROR_PERMILLE / 1_000 + 500;
         let have_leases_expired = now >= self.owned_since + Millis(max_lease_ms);
         if !self.stage.has_resolved_unknown_runs
-            && (self.stage.unconfirmed_minions.is_empty() || have_leases_expired)
+            && (!self.stage.awaits_minions() || have_leases_expired)
         {
+            self.log_resolution(context);
             self.stage.has_resolved_unknown_runs = true;
+            self.save.is_roster_dirty |= !self.stage.unconfirmed_minions.is_empty();
             self.discount_unknown_incarnations(context);
             for job in self.jobs.values_mut() {
                 job.may_have_unknown_runs = false;
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -243,10 +243,12 @@
     /// taken down without loss. A minion that has not answered for some time shows nothing of its
     /// VM, which may run another minion by now.
     pub(super) fn is_drained(&self, now: Moment) -> bool {
-        self.is_fenced
-            && self.has_recent_contact(now)
-            && self.runs.is_empty()
-            && self.processed_end == self.acknowledged_end
+        self.is_idle() && self.has_recent_contact(now)
+    }
+
+    /// Whether the minion has no runs and no finished run to report, by all that this owner knows.
+    pub(super) fn is_idle(&self) -> bool {
+        self.is_fenced && self.runs.is_empty() && self.processed_end == self.acknowledged_end
     }
 
     /// Whether the minion's last answer is recent enough to describe its current state.
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -314,6 +314,7 @@
         self.resend_stops(context);
         self.update_maintenance(context);
         self.update_demand(context);
+        self.note_roster_changes();
         self.expire_outcomes(context);
         self.hold_queue.add_all();
         self.pass.request();
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -33,8 +33,13 @@
         let known: Vec<MinionId> = self.minions.keys().cloned().collect();
         for id in known {
             let is_listed = belongs_to_pool(&id, self);
-            if let Some(minion) = self.minions.get_mut(&id) {
-                minion.is_listed = is_listed;
+            let Some(minion) = self.minions.get_mut(&id) else { continue };
+            let was_listed = std::mem::replace(&mut minion.is_listed, is_listed);
+            if let Some(current) = context.registry.superseded.get(&id)
+                && was_listed
+            {
+                let inputs = format!("{current} is listed on its VM");
+                context.out.log("minion", &id, inputs, "superseded");
             }
         }
         for report in context.registry.reports.values() {
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -211,6 +211,9 @@
     fn add_roster(&mut self, commit: &mut StoreCommit) -> BTreeMap<MinionId, u64> {
         self.save.is_roster_dirty = false;
         let roster = self.build_roster();
+        for (id, minion) in &mut self.minions {
+            minion.is_in_roster &= roster.minions.contains_key(id);
+        }
         let (key, value) = (self.pool_key(OwnKey::Roster), PutValue::Own(encode(&roster)));
         commit.puts.push(StorePut { key, value, lease: None });
         roster.minions.into_iter().map(|(id, row)| (id, row.minion_incarnation)).collect()
@@ -262,17 +265,45 @@
         }
     }
 
-    /// Builds the roster: minions that have answered this owner, and minions of the stored
-    /// roster that may still execute tasks of an earlier owner.
+    /// Requests a commit of the roster if it has a minion that is drained, or lacks one that may get
+    /// starts.
+    pub(super) fn note_roster_changes(&mut self) {
+        let is_writing = |lane: &LaneState| {
+            lane.in_flight.as_ref().is_some_and(|in_flight| in_flight.roster.is_some())
+        };
+        if self.save.lanes.iter().any(is_writing) {
+            return;
+        }
+        self.work.add(self.minions.len());
+        let is_changed = |minion: &OwnedMinion| {
+            minion.is_fenced && minion.is_in_roster == self.is_drained_for_good(minion)
+        };
+        self.save.is_roster_dirty |= self.minions.values().any(is_changed);
+    }
+
+    /// Whether a minion has nothing to run or to report and gets no starts. Its VM may go down at any
+    /// time, and the next owner would wait for its answer until all leases have certainly expired.
+    fn is_drained_for_good(&self, minion: &OwnedMinion) -> bool {
+        let is_marked_down = self.maintenance.is_marked_down(minion.report.vm.as_ref());
+        (minion.is_being_drained || is_marked_down) && minion.is_idle()
+    }
+
+    /// Builds the roster: minions that have answered this owner and may have runs, and minions of the
+    /// stored roster that may still execute tasks of an earlier owner.
     fn build_roster(&self) -> PoolRoster {
         self.work.add(self.minions.len());
         let mut minions: BTreeMap<MinionId, RosterRow> = self.stage.unconfirmed_minions.clone();
+        if self.stage.has_resolved_unknown_runs() {
+            minions.values_mut().for_each(|row| row.may_have_runs = false);
+        }
         for (id, minion) in &self.minions {
-            if minion.is_fenced {
+            if minion.is_fenced && !self.is_drained_for_good(minion) {
                 let row = RosterRow {
                     address: minion.report.address,
                     minion_incarnation: minion.report.minion_incarnation,
                     saved_end: self.saved_end(minion),
+                    vm: minion.report.vm.clone(),
+                    may_have_runs: true,
                 };
                 minions.insert(id.clone(), row);
             }
--- a/crates/fleet/src/records.rs
+++ b/crates/fleet/src/records.rs
@@ -29,6 +29,18 @@
     /// written.
     #[serde(rename = "noted")]
     pub saved_end: u64,
+    /// VM that the minion runs on; no earlier minion of this VM runs any more.
+    #[serde(default)]
+    pub vm: Option<VmId>,
+    /// Whether runs that the writer of the roster did not know may still execute there.
+    #[serde(default = "RosterRow::default_may_have_runs")]
+    pub may_have_runs: bool,
+}
+
+impl RosterRow {
+    fn default_may_have_runs() -> bool {
+        true
+    }
 }
 
 /// Failed run whose end may not have been acknowledged to its minion.
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -8,7 +8,7 @@
 //! report of an earlier minion on the VM of a later one is left out: whoever asks for the minion on
 //! a VM would else find one without runs beside the one that has them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use state::{MinionId, Moment, VmId};
 
@@ -23,8 +23,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Registry {
     pub(crate) reports: BTreeMap<MinionId, MinionReport>,
-    /// Minions whose reports were left out of that reading.
-    superseded: BTreeSet<MinionId>,
+    /// Minions whose reports were left out of that reading, each with the latest one on its VM.
+    pub(crate) superseded: BTreeMap<MinionId, MinionId>,
     /// Time at which the latest complete reading was requested.
     pub(crate) read_at: Option<Moment>,
     /// Time from which a reading must have been requested for starts by its reports.
@@ -92,14 +92,14 @@
             return false;
         }
         self.reports = std::mem::take(&mut self.pending_reports);
-        self.remove_superseded(out);
+        self.remove_superseded();
         self.read_at = Some(self.reading_began_at);
         self.next_call_at = clock.now + REGISTRY_INTERVAL;
         true
     }
 
     /// Removes the reports of minions on whose VM a later minion is listed, in any pool.
-    fn remove_superseded(&mut self, out: &mut Outbox) {
+    fn remove_superseded(&mut self) {
         let mut latest: BTreeMap<&VmId, &MinionReport> = BTreeMap::new();
         for report in self.reports.values() {
             let Some(vm) = &report.vm else { continue };
@@ -108,19 +108,15 @@
                 *known = report;
             }
         }
-        let mut superseded = BTreeSet::new();
+        let mut superseded = BTreeMap::new();
         for report in self.reports.values() {
             let Some(current) = report.vm.as_ref().and_then(|vm| latest.get(vm)) else { continue };
             if report.minion_incarnation >= current.minion_incarnation {
                 continue;
             }
-            if !self.superseded.contains(&report.minion) {
-                let inputs = format!("{} is listed on its VM", current.minion);
-                out.log("minion-report", &report.minion, inputs, "superseded");
-            }
-            superseded.insert(report.minion.clone());
+            superseded.insert(report.minion.clone(), current.minion.clone());
         }
-        self.reports.retain(|minion, _| !superseded.contains(minion));
+        self.reports.retain(|minion, _| !superseded.contains_key(minion));
         self.superseded = superseded;
     }
 }
--- a/crates/fleet/tests/rules/replaced_minions.rs
+++ b/crates/fleet/tests/rules/replaced_minions.rs
@@ -203,3 +203,33 @@
     simulation.run_until(simulation.now + WATCHED_MS);
     assert_eq!(simulation.cloud.move_count, 1);
 }
+
+/// Guards against a new owner that waits for the answers of minions whose VMs have gone down for
+/// maintenance, until all leases have certainly expired.
+#[rstest]
+fn new_owner_does_not_wait_for_minions_of_maintained_vms(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut simulation = build_simulation(seed);
+    simulation.order_wave(1, vec![first_vm()], 1);
+    while !simulation.cloud.has_begun_maintenance(1, &first_vm()) {
+        simulation.run_until(simulation.now + 5);
+    }
+    for daemon in 0..DAEMON_COUNT {
+        simulation.kill_daemon(daemon);
+        simulation.start_daemon(daemon);
+    }
+    let processor = Millicores(300);
+    let batch = JobBatch { jobs: 8, tasks: 1, processor, first_delay: 100, interval: 10 };
+    submit_batch(&mut simulation, &batch);
+    let loaded_before = count_loads(&simulation);
+    while count_loads(&simulation) == loaded_before {
+        simulation.run_until(simulation.now + 5);
+    }
+    simulation.run_until(simulation.now + RESTART_MS);
+    assert_eq!(simulation.checker.start_count, 8);
+}
+
+/// Counts the times at which an owner had loaded the pool's records.
+fn count_loads(simulation: &Simulation) -> usize {
+    let lines = simulation.pool_decisions.iter();
+    lines.filter(|(_, _, line)| *line.id == *"pool-0" && &*line.outcome == "loaded").count()
+}
