The known red seed of FailuresLost is again one that fails

Cause: owners write the roster at other times now, so a run draws other delays, and seed 46 no longer meets the known fault, which is not mended. Evidence: of seeds 0 to 299 of the kind the first that fails is 136, by the same fault: end 15 of i-13 was acknowledged as the minion crashed (told up to end 14).

--- a/crates/fleet/tests/rules/seeded_runs.rs
+++ b/crates/fleet/tests/rules/seeded_runs.rs
@@ -240,7 +240,7 @@
 #[test]
 fn failure_does_not_count_if_its_minion_crashes_untold() {
     let fault = InjectedFault::FailuresLost;
-    assert_rules_held(&run_scenario(46, fault), fault, 46);
+    assert_rules_held(&run_scenario(136, fault), fault, 136);
 }
 
 /// Returns the seeds of each test case.
