A job counts as waiting until a task is known to have started

Cause: a job became active when a start was sent, also when the start was refused or never arrived. Evidence: the new test, in which the starts go to a minion that is cut off: Pending(0) from each of three daemons with one job that has not begun.

Change: a job becomes active by the answer to a start, or by a run that a minion lists.

--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -8,7 +8,7 @@
 use jobs::{JobPhase, RunNumber, TaskName};
 use state::{JobId, MinionId, Moment, Revision};
 
-use super::job::{position_of, task_name};
+use super::job::{OwnedJob, position_of, task_name};
 use super::minion::{RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
 use crate::io::{EndKind, EndedRow, MinionAnswer, OrderRefusal, RunningRow};
@@ -39,6 +39,7 @@
                     known.phase = RunPhase::Running;
                     known.confirmed_at = now;
                 }
+                self.note_started(now, &task.job);
             }
             MinionAnswer::Refused(reason) => {
                 if matches!(reason, OrderRefusal::Room | OrderRefusal::Unhealthy) {
@@ -72,6 +73,17 @@
         }
     }
 
+    /// Marks a queued job as active, since a minion has told that one of its tasks has started. A
+    /// start that was only sent may never arrive.
+    pub(super) fn note_started(&mut self, now: Moment, job: &JobId) {
+        let is_queued = |job: &OwnedJob| job.phase == JobPhase::Queued;
+        if self.jobs.get(job).is_some_and(is_queued)
+            && let Some(job) = self.jobs.get_mut(job)
+        {
+            job.mark_active(now);
+        }
+    }
+
     /// Handles the answer to a hold that was sent at `sent_at` to incarnation `incarnation`.
     pub(super) fn on_hold_answered(
         &mut self,
--- a/crates/fleet/src/pool/finished.rs
+++ b/crates/fleet/src/pool/finished.rs
@@ -40,6 +40,7 @@
             format!("{kind:?}"),
         );
         self.release_run(id, &task, run);
+        self.note_started(context.clock.now, &task.job);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let position = position_of(&task);
         if let Some(checkpoint) = checkpoint {
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -77,7 +77,7 @@
     pub(super) lane: SaveLane,
     /// Whether the phase must be saved: a final phase at once, an active one after a delay.
     pub(super) is_phase_dirty: bool,
-    /// Time at which the job's first run was started or adopted.
+    /// Time at which the owner first knew that a run of the job had started.
     pub(super) first_run_at: Option<Moment>,
     /// Whether an earlier owner may have started runs that no minion has listed yet.
     pub(super) may_have_unknown_runs: bool,
@@ -131,7 +131,7 @@
         self.is_phase_dirty && (self.phase.is_final() || is_delay_over)
     }
 
-    /// Marks a queued job active when its first run is started or adopted.
+    /// Marks a queued job active when one of its runs is known to have started.
     pub(super) fn mark_active(&mut self, now: Moment) {
         if self.phase == JobPhase::Queued {
             self.phase = JobPhase::Active;
--- a/crates/fleet/src/pool/listed.rs
+++ b/crates/fleet/src/pool/listed.rs
@@ -34,6 +34,7 @@
             if let Some(checkpoint) = row.checkpoint {
                 self.jobs.set_checkpoint(&row.task, checkpoint);
             }
+            self.note_started(now, &row.task.job);
             return;
         }
         self.adopt_or_stop(context, id, row);
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -328,7 +328,6 @@
         capacity.update_minion(id, &free_before, &minion.free_capacity());
         job.remove_ready(position);
         job.live.insert(position, LiveRun { minion: id.clone(), run });
-        job.mark_active(now);
         self.limits.record_use(group.team, &reservation);
         let order = MinionCall::Start {
             task: task.clone(),
--- a/crates/fleet/tests/rules/accepted_jobs.rs
+++ b/crates/fleet/tests/rules/accepted_jobs.rs
@@ -237,6 +237,24 @@
     assert_eq!(simulation.checker.violations, Vec::new());
 }
 
+/// Guards against a job that is not counted as waiting, because a start was sent that never arrived.
+#[test]
+fn job_waits_until_a_task_is_known_to_have_started() {
+    let mut simulation = Simulation::new(1, DAEMON_COUNT, build_config());
+    simulation.add_minion(build_report(0, 0));
+    simulation.faults.keeps_reports = true;
+    plan_job(&mut simulation, build_spec(), None);
+    simulation.run_until(SUBMITTED_MS - 1);
+    simulation.minions.values_mut().for_each(|minion| minion.is_partitioned = true);
+    simulation.run_until(SUBMITTED_MS + 4_000);
+    let start_lines =
+        simulation.order_decisions.iter().filter(|(_, line)| line.decision == "start");
+    assert!(start_lines.count() > 0);
+    let target = ClientTarget::Route { host: "host.example".into(), path: "/q0/".into() };
+    let waiting = vec![ClientAnswer::Pending(1); DAEMON_COUNT];
+    assert_eq!(ask_daemons_for(&mut simulation, &target, &ClientAction::Show), waiting);
+}
+
 /// Guards against accepted jobs whose next steps never start because no queue leads to their pool
 /// any more.
 #[rstest]
