The identity of jobs and the stored roster have modules of their own

Change: the functions that tell which job a request addresses are in intake/identity.rs, those of the roster in pool/roster.rs; nothing decides otherwise.

--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake/mod.rs
@@ -1,19 +1,20 @@
 //! Accepts jobs, cancels jobs and reports their state, on any daemon.
 //!
 //! A job is accepted by one commit that creates its specification and its outcome;
-//! several jobs share a commit. The outcome stands under the job's name alone and names the pool,
-//! so a job is found, and a copy of its submission recognised, by every later configuration. A commit that may have taken effect is sent again with
+//! several jobs share a commit. A commit that may have taken effect is sent again with
 //! the same expectations until the caller's timeout: the store then either applies the
 //! commit or shows that the records exist. A request is reported as not done only if no
 //! commit can have taken effect. The state of a job is answered from the shared
 //! records, but a job is reported as missing only after a read from the store.
 
+mod identity;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use jobs::{AcceptedJob, JobOutcome, JobPhase};
 use state::{JobId, Millis, Moment, PoolId, QueueId, Revision};
 
-use crate::event::{ClientAction, ClientAnswer, ClientCall, ClientTarget, Clock, ReplyToken};
+use crate::event::{ClientAction, ClientAnswer, ClientCall, Clock, ReplyToken};
 use crate::io::{ItemValue, PutValue, StoreAnswer, StoreCall, StoreCommit, StoreItem, StorePut};
 use crate::key::{OwnKey, StoreKey};
 use crate::outbox::{CallPurpose, Outbox};
@@ -23,6 +24,8 @@
     ANSWER_MARGIN, COMMIT_RETRY_DELAY, MAX_ACCEPT_BATCH, MAX_ACCEPT_COMMITS_IN_FLIGHT, RETRY_AFTER,
 };
 
+use identity::{duplicate_answer, foreign_job_answer, log_duplicate, named_queue, other_queue};
+
 /// Store calls of [`Intake`].
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum IntakeCall {
@@ -117,10 +120,7 @@
         let Ok(job) = job_name.parse::<JobId>() else {
             return Some(ClientAnswer::Malformed("the job's name has no such form".into()));
         };
-        let named_queue = match &call.target {
-            ClientTarget::Queue { queue, .. } => Some(queue.clone()),
-            ClientTarget::Route { .. } => None,
-        };
+        let named_queue = named_queue(&call.target);
         let stored_outcome = shared.outcomes.get(&job);
         if let Some(other) = stored_outcome.and_then(|stored_outcome| {
             other_queue(shared, named_queue.as_ref(), &stored_outcome.record)
@@ -434,58 +434,6 @@
     out.call_store(clock, CallPurpose::Intake(IntakeCall::ReadOutcome(reply_token)), request);
 }
 
-/// Returns the job's queue if a request names another one and the job's queue is still configured.
-/// A path addresses a job whatever queue it leads to, since submitters know nothing else of it.
-fn other_queue<'a>(
-    shared: &SharedRecords,
-    named_queue: Option<&QueueId>,
-    outcome: &'a JobOutcome,
-) -> Option<&'a QueueId> {
-    let is_configured = |queue: &QueueId| {
-        shared.config.as_ref().is_some_and(|config| config.queue(queue).is_some())
-    };
-    let is_other = named_queue.is_some_and(|queue| *queue != outcome.queue);
-    Some(&outcome.queue).filter(|queue| is_other && is_configured(queue))
-}
-
-/// Returns the answer to a request for a job that belongs to a queue other than the named one.
-fn foreign_job_answer(is_submission: bool, queue: &QueueId) -> ClientAnswer {
-    if is_submission {
-        let reason = format!("a job of queue {queue} has this name");
-        ClientAnswer::Malformed(reason.into())
-    } else {
-        ClientAnswer::NoJob
-    }
-}
-
-/// Returns the answer to a submission whose job the store has already, as `item` shows.
-fn duplicate_answer(
-    out: &mut Outbox,
-    shared: &SharedRecords,
-    request: &OpenRequest,
-    item: &StoreItem,
-) -> ClientAnswer {
-    let ItemValue::Own(bytes) = &item.value else { return ClientAnswer::Unknown };
-    let outcome: JobOutcome = match decode(bytes) {
-        Ok(outcome) => outcome,
-        Err(reason) => {
-            out.log("record", format!("{:?}", item.key), reason, "skipped");
-            return ClientAnswer::Unknown;
-        }
-    };
-    if let Some(other) = other_queue(shared, request.named_queue.as_ref(), &outcome) {
-        return foreign_job_answer(true, other);
-    }
-    log_duplicate(out, &request.job, &outcome);
-    ClientAnswer::Accepted
-}
-
-/// Logs that a submission is a copy of one that was accepted, and by what queue and for what pool.
-fn log_duplicate(out: &mut Outbox, job: &JobId, outcome: &JobOutcome) {
-    let inputs = format!("accepted by queue {} for pool {}", outcome.queue, outcome.pool);
-    out.log("submission", job, inputs, "duplicate");
-}
-
 fn pending_answer(shared: &SharedRecords, queue: &QueueId) -> ClientAnswer {
     let is_queued = |outcome: &&Versioned<JobOutcome>| {
         outcome.record.phase == JobPhase::Queued && outcome.record.queue == *queue
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -34,6 +34,7 @@
 mod placement;
 mod ready_queue;
 mod rebalance;
+mod roster;
 mod save;
 mod save_lane;
 mod team_use;
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -26,7 +26,7 @@
 use crate::event::Measurement;
 use crate::io::{ItemValue, PutValue, StoreAnswer, StoreCall, StoreCommit, StoreItem, StorePut};
 use crate::key::{OwnKey, StoreKey};
-use crate::records::{PoolRoster, RosterRow, SaveSequence, decode, encode};
+use crate::records::{SaveSequence, decode, encode};
 use crate::timing::{COMMIT_RETRY_DELAY, MAX_COMMIT_ROWS, MIN_SAVE_INTERVAL};
 
 /// Number of removed jobs that are remembered, so that a late watch answer does not
@@ -116,6 +116,12 @@
         self.lanes.iter().all(|lane| lane.in_flight.is_none()) && !self.has_new_ends
     }
 
+    /// Whether a commit that writes the roster is in flight.
+    pub(super) fn is_writing_roster(&self) -> bool {
+        let in_flight = self.lanes.iter().filter_map(|lane| lane.in_flight.as_ref());
+        in_flight.into_iter().any(|in_flight| in_flight.roster.is_some())
+    }
+
     /// Counts a finished run that is not saved yet, and returns its count.
     pub(super) fn count_end(&mut self) -> u64 {
         self.has_new_ends = true;
@@ -148,7 +154,7 @@
 
 impl PoolOwner {
     /// Builds the store key of one of the pool's records.
-    fn pool_key(&self, key: impl Fn(state::PoolId) -> OwnKey) -> StoreKey {
+    pub(super) fn pool_key(&self, key: impl Fn(state::PoolId) -> OwnKey) -> StoreKey {
         StoreKey::Own(key(self.pool.clone()))
     }
 
@@ -207,18 +213,6 @@
         commit.puts.push(StorePut { key, value, lease: None });
     }
 
-    /// Adds the roster to a commit, and returns the incarnations of its minions.
-    fn add_roster(&mut self, commit: &mut StoreCommit) -> BTreeMap<MinionId, u64> {
-        self.save.is_roster_dirty = false;
-        let roster = self.build_roster();
-        for (id, minion) in &mut self.minions {
-            minion.is_in_roster &= roster.minions.contains_key(id);
-        }
-        let (key, value) = (self.pool_key(OwnKey::Roster), PutValue::Own(encode(&roster)));
-        commit.puts.push(StorePut { key, value, lease: None });
-        roster.minions.into_iter().map(|(id, row)| (id, row.minion_incarnation)).collect()
-    }
-
     /// Adds as many of the changed jobs to a commit as fit, and returns what is written of them.
     fn add_jobs(
         &mut self,
@@ -265,55 +259,9 @@
         }
     }
 
-    /// Requests a commit of the roster if it has a minion that is drained, or lacks one that may get
-    /// starts.
-    pub(super) fn note_roster_changes(&mut self) {
-        let is_writing = |lane: &LaneState| {
-            lane.in_flight.as_ref().is_some_and(|in_flight| in_flight.roster.is_some())
-        };
-        if self.save.lanes.iter().any(is_writing) {
-            return;
-        }
-        self.work.add(self.minions.len());
-        let is_changed = |minion: &OwnedMinion| {
-            minion.is_fenced && minion.is_in_roster == self.is_drained_for_good(minion)
-        };
-        self.save.is_roster_dirty |= self.minions.values().any(is_changed);
-    }
-
-    /// Whether a minion has nothing to run or to report and gets no starts. Its VM may go down at any
-    /// time, and the next owner would wait for its answer until all leases have certainly expired.
-    fn is_drained_for_good(&self, minion: &OwnedMinion) -> bool {
-        let is_marked_down = self.maintenance.is_marked_down(minion.report.vm.as_ref());
-        (minion.is_being_drained || is_marked_down) && minion.is_idle()
-    }
-
-    /// Builds the roster: minions that have answered this owner and may have runs, and minions of the
-    /// stored roster that may still execute tasks of an earlier owner.
-    fn build_roster(&self) -> PoolRoster {
-        self.work.add(self.minions.len());
-        let mut minions: BTreeMap<MinionId, RosterRow> = self.stage.unconfirmed_minions.clone();
-        if self.stage.has_resolved_unknown_runs() {
-            minions.values_mut().for_each(|row| row.may_have_runs = false);
-        }
-        for (id, minion) in &self.minions {
-            if minion.is_fenced && !self.is_drained_for_good(minion) {
-                let row = RosterRow {
-                    address: minion.report.address,
-                    minion_incarnation: minion.report.minion_incarnation,
-                    saved_end: self.saved_end(minion),
-                    vm: minion.report.vm.clone(),
-                    may_have_runs: true,
-                };
-                minions.insert(id.clone(), row);
-            }
-        }
-        PoolRoster { minions }
-    }
-
     /// Returns the number up to which a minion's finished runs are saved: their jobs were saved
     /// after the runs were processed, or have no unsaved changes.
-    fn saved_end(&self, minion: &OwnedMinion) -> u64 {
+    pub(super) fn saved_end(&self, minion: &OwnedMinion) -> u64 {
         let is_unsaved = |end: &UnsavedEnd| {
             self.jobs.get(&end.job).is_some_and(|job| {
                 job.saved_through < end.count
