Each of several waves at the same time is completed

Cause: before an owner changes a wave's record again its copy must show its last write, whose revision was kept once for all waves, so the record of a wave that was written earlier never reached it. VMs stayed marked as down, and no more could go down.

Change: the last write is kept with its wave, by the VM controller and by pools.

Result: waves_at_the_same_time_are_all_complete failed before (one of four waves) and passes.

--- a/crates/fleet/src/pool/maintenance.rs
+++ b/crates/fleet/src/pool/maintenance.rs
@@ -21,7 +21,7 @@
 use crate::model::WaveOrder;
 use crate::records::{VmMaintenance, WaveProgressDoc};
 use crate::timing::{COMMIT_RETRY_DELAY, EARLIER_ORDER_MARGIN};
-use crate::vm_controller::{incomplete_waves, wave_commit, wave_progress_of};
+use crate::vm_controller::{has_reached, incomplete_waves, wave_commit, wave_progress_of};
 
 /// Time from the beginning of a drain until the VM is down, if its tasks run to their end.
 const DRAIN_DURATION: Millis = Millis(2_500);
@@ -54,9 +54,9 @@
 pub(super) struct MaintenanceState {
     /// Whether a write is not answered yet.
     is_write_in_flight: bool,
-    /// Revision of this pool's last write. The shared record must have reached this
-    /// revision before it is changed again.
-    written_revision: Revision,
+    /// Wave and revision of this pool's last write. The shared record of that wave must have reached
+    /// this revision before it is changed again.
+    last_write: (u64, Revision),
     /// Earliest time of the next write.
     next_write_at: Moment,
     /// Incomplete waves by number.
@@ -104,7 +104,7 @@
         let revision = revision.unwrap_or(Revision(0));
         if self.maintenance.is_write_in_flight
             || context.clock.now < self.maintenance.next_write_at
-            || revision < self.maintenance.written_revision
+            || !has_reached(self.maintenance.last_write, order.wave, revision)
         {
             return;
         }
@@ -125,6 +125,7 @@
                 next.vms.insert(vm.clone(), VmMaintenance::Down);
             }
             self.maintenance.is_write_in_flight = true;
+            self.maintenance.last_write = (order.wave, revision);
             let commit = wave_commit(self.owner_key(), self.fencing_token, order, revision, &next);
             let purpose = self.purpose(PoolCall::WaveCommit);
             context.out.call_store(context.clock, purpose, StoreCall::Commit(commit));
@@ -299,7 +300,7 @@
     pub(super) fn on_wave_written(&mut self, context: &mut StepContext, answer: StoreAnswer) {
         self.maintenance.is_write_in_flight = false;
         match answer {
-            StoreAnswer::Committed(revision) => self.maintenance.written_revision = revision,
+            StoreAnswer::Committed(revision) => self.maintenance.last_write.1 = revision,
             StoreAnswer::Conflict(_) => {}
             other => {
                 context.out.log("wave", &self.pool, format!("{other:?}"), "again");
--- a/crates/fleet/src/vm_controller/mod.rs
+++ b/crates/fleet/src/vm_controller/mod.rs
@@ -28,7 +28,7 @@
     VM_LIST_IDLE_INTERVAL, VM_LIST_INTERVAL,
 };
 
-pub(crate) use waves::{incomplete_waves, wave_commit, wave_progress_of};
+pub(crate) use waves::{has_reached, incomplete_waves, wave_commit, wave_progress_of};
 
 /// Store and cloud calls of [`VmController`].
 #[derive(Debug, Clone, PartialEq)]
@@ -51,8 +51,8 @@
     is_list_in_flight: bool,
     next_list_at: Moment,
     is_write_in_flight: bool,
-    /// Revision of the last wave progress that this owner wrote.
-    written_revision: Revision,
+    /// Wave and revision of the last wave progress that this owner wrote.
+    last_write: (u64, Revision),
     next_write_at: Moment,
     /// VMs with an order that is not answered yet.
     pending_orders: BTreeSet<VmId>,
@@ -79,7 +79,7 @@
             is_list_in_flight: false,
             next_list_at: Moment(0),
             is_write_in_flight: false,
-            written_revision: Revision(0),
+            last_write: (0, Revision(0)),
             next_write_at: Moment(0),
             pending_orders: BTreeSet::new(),
             maintenance_answered_at: BTreeMap::new(),
@@ -260,7 +260,7 @@
     pub(crate) fn on_store(&mut self, context: &mut StepContext, answer: StoreAnswer) {
         self.is_write_in_flight = false;
         match answer {
-            StoreAnswer::Committed(revision) => self.written_revision = revision,
+            StoreAnswer::Committed(revision) => self.last_write.1 = revision,
             StoreAnswer::Conflict(items) => {
                 let key = StoreKey::Own(OwnKey::Owner(ShardKey::VmController));
                 let is_owned = |item: &crate::io::StoreItem| {
--- a/crates/fleet/src/vm_controller/waves.rs
+++ b/crates/fleet/src/vm_controller/waves.rs
@@ -20,7 +20,7 @@
         let revision = revision.unwrap_or(Revision(0));
         if self.is_write_in_flight
             || context.clock.now < self.next_write_at
-            || revision < self.written_revision
+            || !has_reached(self.last_write, order.wave, revision)
         {
             return;
         }
@@ -118,6 +118,7 @@
         next_progress: &WaveProgressDoc,
     ) {
         self.is_write_in_flight = true;
+        self.last_write = (order.wave, revision);
         let owner = StoreKey::Own(OwnKey::Owner(ShardKey::VmController));
         let commit = wave_commit(owner, self.fencing_token, order, revision, next_progress);
         let inputs = format!("{} of {} VMs marked", next_progress.vms.len(), order.vms.len());
@@ -127,6 +128,12 @@
     }
 }
 
+/// Whether the local copy of a wave's record, at `revision`, has the owner's last write: a write to
+/// another wave says nothing of this one.
+pub(crate) fn has_reached(last_write: (u64, Revision), wave: u64, revision: Revision) -> bool {
+    last_write.0 != wave || revision >= last_write.1
+}
+
 /// Returns the waves that have VMs left to maintain.
 pub(crate) fn incomplete_waves(context: &StepContext) -> Vec<WaveOrder> {
     let is_incomplete =
--- a/crates/fleet/tests/rules/waves.rs
+++ b/crates/fleet/tests/rules/waves.rs
@@ -45,3 +45,26 @@
     assert_eq!(simulation.store.wave_statuses.last(), Some(&(1, WavePhase::Complete)));
     assert_eq!(simulation.checker.violations, Vec::new());
 }
+
+/// Guards against a wave that is never complete, because another wave's progress was written later.
+#[test]
+fn waves_at_the_same_time_are_all_complete() {
+    let mut simulation = Simulation::new(1, 3, build_config());
+    for pool in 0..2 {
+        for number in 0..4 {
+            simulation.add_minion(build_report(pool, number));
+        }
+    }
+    simulation.run_until(ORDERED_MS);
+    let vms: Vec<VmId> = simulation.cloud.vms.keys().cloned().collect();
+    for (wave, vms) in (1..).zip(vms.chunks(2)) {
+        simulation.order_wave(wave, vms.to_vec(), 1);
+        simulation.run_until(simulation.now + 500);
+    }
+    simulation.run_until(ORDERED_MS + DURATION_MS);
+    let is_complete =
+        |wave: &u64| simulation.store.wave_statuses.contains(&(*wave, WavePhase::Complete));
+    let complete: Vec<u64> = (1..=4).filter(is_complete).collect();
+    assert_eq!(complete, [1, 2, 3, 4]);
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
