--- /dev/null
+++ b/crates/policy/src/forecast.rs
@@ -0,0 +1,1 @@
+//! Predicts the next burst of a pool's demand from the work that was accepted.
--- /dev/null
+++ b/crates/policy/src/overload.rs
@@ -0,0 +1,1 @@
+//! Selects the jobs that a full pool can complete in time.
--- /dev/null
+++ b/crates/policy/src/run_times.rs
@@ -0,0 +1,1 @@
+//! Learns the ratio of measured to declared run times.
--- /dev/null
+++ b/crates/policy/src/shares.rs
@@ -0,0 +1,1 @@
+//! Orders teams by weighted fair shares of a full pool.
