Overload: a full pool selects the jobs that it can complete in time

Cause: jobs were placed by the latest start that meets their objective. Under overload each job then starts at the last moment and misses its objective, and the oldest late jobs come before those that are only slightly late.

Change: policy::select_jobs goes through the steps that have not started, by their latest start, and leaves jobs out when the pool cannot have started the work by then: of the team with the most use and selected work for its weight (policy::TeamShares), there first a job that has started nothing, with the most remaining work. Jobs left out come after the others; those that can still be done within three times their objective come first.

--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -8,10 +8,11 @@
 use std::sync::Arc;
 
 use jobs::{
-    AcceptedJob, JobPhase, JobProgress, JobSpec, QueueTerms, Resources, RunNumber, TaskMark,
-    TaskName,
+    AcceptedJob, JobPhase, JobProgress, JobSpec, QueueTerms, Resources, RunNumber, StepSpec,
+    TaskMark, TaskName,
 };
-use state::{JobId, MinionId, Moment, QueueId, Revision, TeamId};
+use policy::{JobLoad, StepLoad};
+use state::{JobId, Millis, MinionId, Moment, QueueId, Revision, TeamId};
 
 use super::placement::reservation_for;
 use super::save_lane::SaveLane;
@@ -283,10 +284,76 @@
 
     /// Returns the time by which the job should be complete, in milliseconds since 1970.
     pub(super) fn objective_ms(&self) -> u64 {
+        self.earliest_start_ms().saturating_add(self.objective_span().0)
+    }
+
+    /// Returns the time after which the job's end is worth nothing to its submitter, in
+    /// milliseconds since 1970.
+    pub(super) fn expiry_ms(&self) -> u64 {
+        /// Multiple of the objective after which a job is worth nothing (`docs/design/README.md`).
+        const EXPIRY_FACTOR: u64 = 3;
+        let span = self.objective_span().0.saturating_mul(EXPIRY_FACTOR);
+        self.earliest_start_ms().saturating_add(span)
+    }
+
+    /// Returns the time from which the objective counts, in milliseconds since 1970.
+    fn earliest_start_ms(&self) -> u64 {
+        self.spec.due_ms(self.next_occurrence()).max(self.accepted_ms)
+    }
+
+    fn objective_span(&self) -> Millis {
         let critical_path_ms = self.spec.critical_path().0 as f64 * self.terms.slack_factor;
+        Millis((critical_path_ms as u64).saturating_add(self.terms.latency_objective.0))
+    }
+
+    /// Returns the expected run time of one task of a step.
+    fn expected_run_time(&self, step: &StepSpec) -> Millis {
+        step.estimate
+    }
+
+    /// Describes what is left to start, for the selection of jobs in a full pool.
+    pub(super) fn load(&self) -> JobLoad {
+        JobLoad {
+            team: self.team.clone(),
+            priority: self.terms.priority,
+            has_started: !self.progress.is_empty() || !self.live.is_empty(),
+            objective_ms: self.objective_ms(),
+            expiry_ms: self.expiry_ms(),
+            steps: self.unstarted_steps(),
+        }
+    }
+
+    /// Lists the steps of the next occurrence with tasks that have not started.
+    fn unstarted_steps(&self) -> Box<[StepLoad]> {
         let occurrence = self.next_occurrence();
-        let earliest_start_ms = self.spec.due_ms(occurrence).max(self.accepted_ms);
-        earliest_start_ms + critical_path_ms as u64 + self.terms.latency_objective.0
+        let paths = self.remaining_paths();
+        let to_load = |(index, step): (usize, &StepSpec)| {
+            let number = index as u16;
+            let done = self.progress.done_tasks(occurrence, number);
+            let live = self.live.range((occurrence, number, 0)..=(occurrence, number, u32::MAX));
+            let open = u64::from(step.tasks.saturating_sub(done));
+            let unstarted = open.saturating_sub(live.count() as u64);
+            let run_time = self.expected_run_time(step);
+            let task_work = reservation_for(step).processor.0.saturating_mul(run_time.0);
+            let work = task_work.saturating_mul(unstarted);
+            let load = StepLoad { run_time, remaining_path: paths[index], work };
+            (unstarted > 0).then_some(load)
+        };
+        self.spec.steps.iter().enumerate().filter_map(to_load).collect()
+    }
+
+    /// Returns for each step the expected time from its start to the end of the job.
+    fn remaining_paths(&self) -> Vec<Millis> {
+        let mut paths = vec![Millis(0); self.spec.steps.len()];
+        for (index, step) in self.spec.steps.iter().enumerate().rev() {
+            let path = paths[index].0.saturating_add(self.expected_run_time(step).0);
+            paths[index] = Millis(path);
+            for after in &step.after {
+                let before = &mut paths[usize::from(*after)];
+                *before = (*before).max(Millis(path));
+            }
+        }
+        paths
     }
 }
 
--- a/crates/fleet/src/pool/limits.rs
+++ b/crates/fleet/src/pool/limits.rs
@@ -115,6 +115,31 @@
         teams.map(|team| (team.clone(), self.used_by(team))).collect()
     }
 
+    /// Returns the processor time that the pool uses for each team, in millicores.
+    pub(super) fn processor_use(&self) -> BTreeMap<TeamId, u64> {
+        let by_team = self.used_by_team().into_iter();
+        by_team.map(|(team, used)| (team, used.processor.0)).collect()
+    }
+
+    /// Returns the processor time that other pools use for each team, in millicores: what the
+    /// shared record allocates to them, as far as they request it.
+    pub(super) fn processor_use_elsewhere(
+        &self,
+        shared: Option<&Versioned<AllocationDoc>>,
+        pool: &PoolId,
+    ) -> BTreeMap<TeamId, u64> {
+        let (doc, _) = self.newest_doc(shared);
+        let use_of = |allocation: &PoolAllocation| {
+            allocation.allocated.processor.0.min(allocation.requested.processor.0)
+        };
+        let by_team = doc.teams.iter().map(|(team, by_pool)| {
+            let others = by_pool.iter().filter(|(other, _)| *other != pool);
+            let used = others.map(|(_, allocation)| use_of(allocation));
+            (team.clone(), used.fold(0, u64::saturating_add))
+        });
+        by_team.collect()
+    }
+
     /// Whether the shared record has changed since the last call.
     pub(super) fn has_new_revision(&mut self, revision: Option<Revision>) -> bool {
         let before = std::mem::replace(&mut self.shared_revision, revision);
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -30,6 +30,7 @@
 mod maintenance;
 mod minion;
 mod orders;
+mod overload;
 mod pass;
 mod placement;
 mod ready_queue;
@@ -64,6 +65,7 @@
 use load::LoadStage;
 use maintenance::MaintenanceState;
 use minion::{OwnedMinion, RunPhase};
+use overload::OverloadState;
 use pass::PassSchedule;
 use ready_queue::ReadyQueue;
 use save::SaveState;
@@ -139,6 +141,7 @@
     stage: LoadStage,
     jobs: JobTable,
     ready_queue: ReadyQueue,
+    overload: OverloadState,
     pass: PassSchedule,
     minions: BTreeMap<MinionId, OwnedMinion>,
     hold_queue: HoldQueue,
@@ -177,6 +180,7 @@
             stage: LoadStage::default(),
             jobs: JobTable::default(),
             ready_queue: ReadyQueue::default(),
+            overload: OverloadState::default(),
             pass: PassSchedule::default(),
             minions: BTreeMap::new(),
             hold_queue: HoldQueue::default(),
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -1,8 +1,8 @@
 //! Placement: finds a minion for each task that may start.
 //!
 //! A placement pass visits jobs in the order of their ranks (`ready_queue`): long-running jobs first,
-//! then jobs that can still meet their objective, then late jobs; within each class by the
-//! queue's priority and by the latest start that meets the objective. A task goes to a
+//! then jobs that the pool can complete in time, then the others (`overload`); within each class by
+//! the queue's priority and by the latest start that meets the objective. A task goes to a
 //! minion that has the label of the task's data rack if there is one, and among these to
 //! the minion with the most free processor time, so that the tasks of each minion have as
 //! much processor time to share as possible. Long-running tasks are gathered on few minions.
@@ -93,17 +93,22 @@
 
     /// Updates the queue of ready jobs for the jobs that have changed. A job is placed whether or not
     /// the configuration still has its queue.
-    fn rank_changed_jobs(&mut self, context: &StepContext) {
+    fn rank_changed_jobs(&mut self, context: &mut StepContext) {
         let wall_ms = context.clock.wall_ms;
-        self.work.add(self.ready_queue.demote_late_jobs(wall_ms));
         for job in self.jobs.take_unranked() {
             self.work.add(1);
             let previous = self.ready_queue.remove(&job);
-            let Some(owned) = self.jobs.get(&job) else { continue };
+            let Some(owned) = self.jobs.get(&job) else {
+                self.overload.remove(&job);
+                continue;
+            };
+            let load = owned.load();
+            let class = self.overload.update(&job, owned, &load, wall_ms);
             if !owned.may_have_unknown_runs {
-                self.ready_queue.insert(job, owned, previous, wall_ms);
+                self.ready_queue.insert(job, owned, previous, (&load, class), wall_ms);
             }
         }
+        self.select_jobs(context);
     }
 
     /// Lists the minions that may get tasks, with their free capacity.
--- a/crates/fleet/src/pool/ready_queue.rs
+++ b/crates/fleet/src/pool/ready_queue.rs
@@ -1,14 +1,15 @@
 //! Jobs with tasks that may start, in the order of placement.
 //!
-//! A job is ranked when it changes. The passing of time alone changes a rank only once, when
-//! the job can no longer meet its objective. Each group of ready tasks keeps the time at which it
+//! A job is ranked when it changes, and when the selection of the jobs that a full pool can complete
+//! in time (`overload`) moves it to another class. Each group of ready tasks keeps the time at which it
 //! was first ranked and the reason why the last pass did not start all of it.
 
 use std::cell::Cell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use jobs::{JobSpec, Resources};
+use policy::{JobClass, JobLoad};
 use state::{JobId, TeamId};
 
 use super::job::OwnedJob;
@@ -20,8 +21,8 @@
 struct PlaceRank {
     class: RankClass,
     priority: u32,
-    /// Latest time at which the rest of the job must start to meet the objective, in
-    /// milliseconds since 1970.
+    /// Latest time at which the rest of the job must start to meet the objective, or, for a job
+    /// that was left out, to end before it expires; in milliseconds since 1970.
     latest_start_ms: u64,
 }
 
@@ -29,8 +30,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum RankClass {
     LongRunning,
-    OnTime,
-    Late,
+    Selected(JobClass),
+}
+
+impl PlaceRank {
+    fn new(load: &JobLoad, class: JobClass) -> Self {
+        let latest_start_ms = match class {
+            JobClass::InTime => load.latest_start_ms(),
+            JobClass::Late | JobClass::Expired => load.last_start_ms(),
+        };
+        Self { class: RankClass::Selected(class), priority: load.priority, latest_start_ms }
+    }
+
+    fn long_running(load: &JobLoad) -> Self {
+        let latest_start_ms = load.latest_start_ms();
+        Self { class: RankClass::LongRunning, priority: load.priority, latest_start_ms }
+    }
 }
 
 /// Ready tasks of one occurrence's step.
@@ -59,8 +74,6 @@
 pub(super) struct ReadyQueue {
     jobs: BTreeMap<(PlaceRank, JobId), ReadyJob>,
     ranks: BTreeMap<JobId, PlaceRank>,
-    /// Jobs of class [`RankClass::OnTime`] by their latest start.
-    on_time: BTreeSet<(u64, JobId)>,
 }
 
 impl ReadyQueue {
@@ -80,17 +93,17 @@
     /// Removes and returns a job, if it is in the queue.
     pub(super) fn remove(&mut self, job: &JobId) -> Option<ReadyJob> {
         let rank = self.ranks.remove(job)?;
-        self.on_time.remove(&(rank.latest_start_ms, job.clone()));
         self.jobs.remove(&(rank, job.clone()))
     }
 
     /// Adds a job whose ready tasks are to be placed. `previous` is the job as it was in the
-    /// queue before it changed.
+    /// queue before it changed; `class` is `None` for a long-running job.
     pub(super) fn insert(
         &mut self,
         job: JobId,
         owned: &OwnedJob,
         previous: Option<ReadyJob>,
+        placed: (&JobLoad, Option<JobClass>),
         wall_ms: u64,
     ) {
         let previous_groups = previous.map(|ready| ready.groups).unwrap_or_default();
@@ -98,29 +111,21 @@
         if groups.is_empty() {
             return;
         }
-        let rank = rank_job(owned, wall_ms);
-        if rank.class == RankClass::OnTime {
-            self.on_time.insert((rank.latest_start_ms, job.clone()));
-        }
+        let (load, class) = placed;
+        let rank = class.map_or(PlaceRank::long_running(load), |class| PlaceRank::new(load, class));
         let (spec, team) = (Arc::clone(&owned.spec), owned.team.clone());
         self.ranks.insert(job.clone(), rank);
         self.jobs.insert((rank, job), ReadyJob { spec, team, groups });
     }
 
-    /// Moves the jobs that can no longer meet their objective to the late ones, and returns
-    /// the number of moved jobs.
-    pub(super) fn demote_late_jobs(&mut self, wall_ms: u64) -> usize {
-        let mut count = 0;
-        while self.on_time.first().is_some_and(|(latest_start_ms, _)| *latest_start_ms < wall_ms)
-            && let Some((_, job)) = self.on_time.pop_first()
-        {
-            count += 1;
-            let Some(rank) = self.ranks.get_mut(&job) else { continue };
-            let Some(ready) = self.jobs.remove(&(*rank, job.clone())) else { continue };
-            rank.class = RankClass::Late;
-            self.jobs.insert((*rank, job), ready);
+    /// Moves a job to the class that the selection has found, if it is in the queue.
+    pub(super) fn reclassify(&mut self, job: &JobId, load: &JobLoad, class: JobClass) {
+        let next = PlaceRank::new(load, class);
+        let Some(rank) = self.ranks.get_mut(job).filter(|rank| **rank != next) else { return };
+        let previous = std::mem::replace(rank, next);
+        if let Some(ready) = self.jobs.remove(&(previous, job.clone())) {
+            self.jobs.insert((next, job.clone()), ready);
         }
-        count
     }
 }
 
@@ -144,17 +149,3 @@
     };
     owned.ready.iter().filter_map(to_group).collect()
 }
-
-/// Computes a job's rank at `wall_ms`, in milliseconds since 1970.
-fn rank_job(job: &OwnedJob, wall_ms: u64) -> PlaceRank {
-    let remaining = job.spec.remaining_critical_path(&job.progress, job.next_occurrence());
-    let latest_start_ms = job.objective_ms().saturating_sub(remaining.0);
-    let class = if job.spec.is_long_running() {
-        RankClass::LongRunning
-    } else if wall_ms <= latest_start_ms {
-        RankClass::OnTime
-    } else {
-        RankClass::Late
-    };
-    PlaceRank { class, priority: job.terms.priority, latest_start_ms }
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,3 +12,6 @@
 mod run_times;
 mod shares;
 mod vm_health;
+
+pub use overload::{JobClass, JobLoad, PoolCapacity, StepLoad, select_jobs};
+pub use shares::{TeamShares, TeamUse};
