Run times: expect what runs have taken instead of what was declared

Cause: jobs were ordered, and VMs requested, by declared run times, which are off by a factor of up to 10. Late jobs counted as on time and the reverse.

Change: policy::run_times keeps medians of declared and measured times by queue and class of declared time, and interpolates between them in logarithms. The owner measures its runs, and uses the expected time in the job's objective, its rank, its remaining critical path, and the open and arriving work. The table is kept in runtimes/POOL, which only the pool's owners read, at most 8 KB and once in 5 s. A metric (run_time_ratio) and a bounded log line (run-times) show the correction.

--- a/crates/daemon/src/runtime/metrics.rs
+++ b/crates/daemon/src/runtime/metrics.rs
@@ -45,6 +45,12 @@
     Histogram::new(exponential_buckets(0.000_025, 2.0, 14))
 }
 
+/// Creates a histogram of ratios of run times, whose bucket bounds grow by the square root of 2 from
+/// 1/16 to 16.
+fn new_ratio_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.0625, std::f64::consts::SQRT_2, 17))
+}
+
 /// Creates a histogram of answer lengths, whose bucket bounds grow fourfold from 256 B to 4 MiB.
 fn new_length_histogram() -> Histogram {
     Histogram::new(exponential_buckets(256.0, 4.0, 8))
@@ -68,6 +74,7 @@
     pass_delay_seconds: Histogram,
     end_saved_seconds: Histogram,
     save_answer_seconds: Histogram,
+    run_time_ratio: HistogramFamily,
     event_wait_seconds: Histogram,
     decisions: Family<KindLabel, Counter>,
     /// Decision lines dropped because the log channel was full.
@@ -169,6 +176,12 @@
                 "Time for which an event waited for the state machine",
                 seconds(),
             ),
+            run_time_ratio: register(
+                own,
+                "run_time_ratio",
+                "Measured run time of a task in relation to the declared and to the expected one",
+                Family::new_with_constructor(new_ratio_histogram as fn() -> Histogram),
+            ),
             decisions: register(own, "decisions", "Decisions, as logged", Family::default()),
             dropped_lines: register(
                 own,
@@ -286,6 +299,12 @@
             Measurement::SaveAnswered(duration) => {
                 self.save_answer_seconds.observe(to_seconds(duration));
             }
+            Measurement::RunTime { declared, expected, measured } => {
+                for (kind, estimate) in [("declared", declared), ("expected", expected)] {
+                    let ratio = measured.0 as f64 / estimate.0.max(1) as f64;
+                    self.run_time_ratio.get_or_create(&KindLabel { kind }).observe(ratio);
+                }
+            }
         }
     }
 
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -175,6 +175,15 @@
     EndSaved(Millis),
     /// Time from a commit of progress to its answer.
     SaveAnswered(Millis),
+    /// Run time of a task, as declared, as expected when its end was processed, and as measured.
+    RunTime {
+        /// Time that the submitter declared.
+        declared: Millis,
+        /// Time that was expected by earlier runs.
+        expected: Millis,
+        /// Time from the confirmed start to the listed end.
+        measured: Millis,
+    },
 }
 
 /// Effect that the caller of the state machine carries out.
--- a/crates/fleet/src/key.rs
+++ b/crates/fleet/src/key.rs
@@ -47,6 +47,8 @@
     Roster(PoolId),
     /// Number of commits that have saved changes of a pool in one lane.
     SaveSequence(PoolId, u8),
+    /// Measured run times of a pool; only the pool's owner reads the record.
+    RunTimes(PoolId),
 }
 
 impl fmt::Display for OwnKey {
@@ -61,6 +63,7 @@
             Self::Progress(pool, job) => write!(f, "progress/{pool}/{job}"),
             Self::Roster(pool) => write!(f, "roster/{pool}"),
             Self::SaveSequence(pool, lane) => write!(f, "saves/{pool}/{lane}"),
+            Self::RunTimes(pool) => write!(f, "runtimes/{pool}"),
         }
     }
 }
@@ -83,6 +86,7 @@
             ["saves", pool, lane] => {
                 Some(Self::SaveSequence(pool.parse().ok()?, lane.parse().ok()?))
             }
+            ["runtimes", pool] => Some(Self::RunTimes(pool.parse().ok()?)),
             _ => None,
         };
         parse().ok_or(())
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -11,7 +11,7 @@
     AcceptedJob, JobPhase, JobProgress, JobSpec, QueueTerms, Resources, RunNumber, TaskMark,
     TaskName,
 };
-use state::{JobId, MinionId, Moment, QueueId, Revision, TeamId};
+use state::{JobId, Millis, MinionId, Moment, QueueId, Revision, TeamId};
 
 use super::placement::reservation_for;
 use super::save_lane::SaveLane;
@@ -81,11 +81,18 @@
     pub(super) first_run_at: Option<Moment>,
     /// Whether an earlier owner may have started runs that no minion has listed yet.
     pub(super) may_have_unknown_runs: bool,
+    /// Expected run time of a task of each step (`run_times`).
+    expected_run_times: Box<[Millis]>,
+    /// Version of the run-time table that the expected run times are from.
+    pub(super) run_times_version: u64,
+    /// Number of the job's runs that the run-time table has.
+    pub(super) run_time_samples: u8,
 }
 
 impl OwnedJob {
     /// Creates a job without progress.
     pub(super) fn new(accepted: AcceptedJob, phase: JobPhase, outcome_revision: Revision) -> Self {
+        let declared = accepted.spec.steps.iter().map(|step| step.estimate).collect();
         Self {
             spec: Arc::new(accepted.spec),
             queue: accepted.queue,
@@ -109,6 +116,9 @@
             is_phase_dirty: false,
             first_run_at: None,
             may_have_unknown_runs: false,
+            expected_run_times: declared,
+            run_times_version: 0,
+            run_time_samples: 0,
         }
     }
 
@@ -281,9 +291,34 @@
         self.ready.keys().next().map_or(0, |(occurrence, _)| *occurrence)
     }
 
-    /// Returns the time by which the job should be complete, in milliseconds since 1970.
+    /// Replaces the expected run times; there is one for each step.
+    pub(super) fn set_expected_run_times(&mut self, run_times: Box<[Millis]>, version: u64) {
+        self.expected_run_times = run_times;
+        self.run_times_version = version;
+    }
+
+    /// Returns the expected run time of a task of a step.
+    pub(super) fn expected_run_time(&self, step: usize) -> Millis {
+        self.expected_run_times.get(step).copied().unwrap_or_default()
+    }
+
+    /// Returns the expected run time of the rest of the critical path of the next occurrence.
+    pub(super) fn remaining_critical_path(&self) -> Millis {
+        let run_time = |step| self.expected_run_time(step);
+        self.spec.remaining_critical_path_by(&self.progress, self.next_occurrence(), run_time)
+    }
+
+    /// Returns the expected processor time of one occurrence, in millicores times milliseconds.
+    pub(super) fn expected_work(&self) -> u64 {
+        self.spec.work_by(|step| self.expected_run_time(step))
+    }
+
+    /// Returns the time by which the job should be complete, in milliseconds since 1970. The objective
+    /// that submitters get is by the true critical path, which the expected one is closer to than the
+    /// declared one.
     pub(super) fn objective_ms(&self) -> u64 {
-        let critical_path_ms = self.spec.critical_path().0 as f64 * self.terms.slack_factor;
+        let critical_path = self.spec.critical_path_by(|step| self.expected_run_time(step));
+        let critical_path_ms = critical_path.0 as f64 * self.terms.slack_factor;
         let occurrence = self.next_occurrence();
         let earliest_start_ms = self.spec.due_ms(occurrence).max(self.accepted_ms);
         earliest_start_ms + critical_path_ms as u64 + self.terms.latency_objective.0
--- a/crates/fleet/src/pool/job_table.rs
+++ b/crates/fleet/src/pool/job_table.rs
@@ -8,7 +8,7 @@
 use std::ops::{Bound, Index};
 
 use jobs::TaskName;
-use state::{JobId, Moment};
+use state::{JobId, Millis, Moment};
 
 use super::job::{OwnedJob, position_of};
 use super::save_lane::{PerLane, SaveLane, choose_lane};
@@ -79,6 +79,26 @@
         }
     }
 
+    /// Replaces the expected run times of a job. No index depends on them; ranks and estimates that
+    /// were computed from earlier ones remain until the job changes.
+    pub(super) fn set_expected_run_times(
+        &mut self,
+        job: &JobId,
+        run_times: Box<[Millis]>,
+        version: u64,
+    ) {
+        if let Some(owned) = self.jobs.get_mut(job) {
+            owned.set_expected_run_times(run_times, version);
+        }
+    }
+
+    /// Counts a run of a job that the run-time table has.
+    pub(super) fn count_run_time_sample(&mut self, job: &JobId) {
+        if let Some(owned) = self.jobs.get_mut(job) {
+            owned.run_time_samples += 1;
+        }
+    }
+
     /// Removes a job from the table and from every index.
     pub(super) fn remove(&mut self, job: &JobId) {
         let Some(owned) = self.jobs.remove(job) else { return };
--- a/crates/fleet/src/pool/listed.rs
+++ b/crates/fleet/src/pool/listed.rs
@@ -82,6 +82,7 @@
             reported_metric: row.reported_metric,
             processor_share: 100,
             confirmed_at: now,
+            is_measurable: false,
         };
         self.limits.record_use(run.team.as_ref(), &run.reservation);
         minion.insert_run((row.task.clone(), row.run), run);
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -241,6 +241,7 @@
             context.out.log("pool", &self.pool, inputs, "loaded");
         }
         self.apply_registry(context);
+        self.read_run_times(context);
         self.read(context, PoolCall::WatchJobs);
     }
 
@@ -301,6 +302,7 @@
         let inputs = format!("revision {revision}, {phase}, {} steps", owned.spec.steps.len());
         context.out.log("job", job, inputs, "taken");
         self.jobs.insert(job.clone(), owned);
+        self.update_expected_run_times(context.clock.now, job);
     }
 
     /// Logs from when on tasks that an earlier owner may have started are started again, and which
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -66,6 +66,9 @@
     pub(super) processor_share: u8,
     /// Time at which the start was answered or the run was first listed.
     pub(super) confirmed_at: Moment,
+    /// Whether the run's duration shows the run time of its task: this owner started it, and not from a
+    /// checkpoint.
+    pub(super) is_measurable: bool,
 }
 
 /// A minion of the pool, with the runs that may execute there.
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -35,6 +35,7 @@
 mod ready_queue;
 mod rebalance;
 mod roster;
+mod run_times;
 mod save;
 mod save_lane;
 mod team_use;
@@ -66,6 +67,7 @@
 use minion::{OwnedMinion, RunPhase};
 use pass::PassSchedule;
 use ready_queue::ReadyQueue;
+use run_times::RunTimeState;
 use save::SaveState;
 use save_lane::SaveLane;
 use work::WorkCounter;
@@ -101,6 +103,10 @@
     Demand,
     /// Commit that removes outcomes of jobs that ended long ago.
     Expire,
+    /// Read of the measured run times.
+    ReadRunTimes,
+    /// Commit of the measured run times.
+    WriteRunTimes,
 }
 
 impl PoolCall {
@@ -113,6 +119,7 @@
                 | Self::LoadJobs
                 | Self::LoadProgress
                 | Self::WatchJobs
+                | Self::ReadRunTimes
         )
     }
 }
@@ -149,6 +156,7 @@
     maintenance: MaintenanceState,
     demand: DemandState,
     expiry: ExpiryQueue,
+    run_times: RunTimeState,
     work: WorkCounter,
     /// Whether the daemon is stopping, so that no more tasks are placed.
     is_stopping: bool,
@@ -186,6 +194,7 @@
             maintenance: MaintenanceState::default(),
             demand: DemandState::default(),
             expiry: ExpiryQueue::default(),
+            run_times: RunTimeState::default(),
             work: WorkCounter::default(),
             is_stopping: false,
             is_lost: false,
@@ -240,6 +249,8 @@
             // Outcomes that were not removed are queued again by the pool's next owner.
             PoolCall::Expire => self.expiry.is_write_in_flight = false,
             PoolCall::Demand => self.on_demand_written(context, answer),
+            PoolCall::ReadRunTimes => self.on_run_times_read(context, answer),
+            PoolCall::WriteRunTimes => self.on_run_times_written(context, answer),
             loading => self.on_loaded(context, loading, answer),
         }
         self.advance(context);
@@ -317,6 +328,7 @@
         self.update_demand(context);
         self.note_roster_changes();
         self.expire_outcomes(context);
+        self.keep_run_times(context);
         self.hold_queue.add_all();
         self.pass.request();
         self.save.may_release_ends = true;
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -99,6 +99,7 @@
         for job in self.jobs.take_unranked() {
             self.work.add(1);
             let previous = self.ready_queue.remove(&job);
+            self.update_expected_run_times(context.clock.now, &job);
             let Some(owned) = self.jobs.get(&job) else { continue };
             if !owned.may_have_unknown_runs {
                 self.ready_queue.insert(job, owned, previous, wall_ms);
@@ -323,6 +324,7 @@
                 reported_metric: None,
                 processor_share: 100,
                 confirmed_at: now,
+                is_measurable: !job.checkpoints.contains_key(&position),
             },
         );
         capacity.update_minion(id, &free_before, &minion.free_capacity());
--- a/crates/fleet/src/pool/ready_queue.rs
+++ b/crates/fleet/src/pool/ready_queue.rs
@@ -147,8 +147,7 @@
 
 /// Computes a job's rank at `wall_ms`, in milliseconds since 1970.
 fn rank_job(job: &OwnedJob, wall_ms: u64) -> PlaceRank {
-    let remaining = job.spec.remaining_critical_path(&job.progress, job.next_occurrence());
-    let latest_start_ms = job.objective_ms().saturating_sub(remaining.0);
+    let latest_start_ms = job.objective_ms().saturating_sub(job.remaining_critical_path().0);
     let class = if job.spec.is_long_running() {
         RankClass::LongRunning
     } else if wall_ms <= latest_start_ms {
--- a/crates/fleet/src/pool/work_estimate.rs
+++ b/crates/fleet/src/pool/work_estimate.rs
@@ -40,7 +40,7 @@
         let estimate = JobEstimate {
             open_work: open_work(owned),
             accepted_ms: owned.accepted_ms,
-            arriving_work: arrives.then(|| owned.spec.estimated_work()),
+            arriving_work: arrives.then(|| owned.expected_work()),
         };
         self.open_work += u128::from(estimate.open_work);
         if arrives {
@@ -77,12 +77,14 @@
     if job.phase.is_final() || job.spec.is_long_running() || job.spec.timetable.is_some() {
         return 0;
     }
-    let mut work = 0;
+    let mut work: u64 = 0;
     for (number, step) in job.spec.steps.iter().enumerate() {
         let number = number as u16;
         let open = u64::from(step.tasks.saturating_sub(job.progress.done_tasks(0, number)));
-        let step_work = open * step.demand.processor.0 * step.estimate.0;
-        work += if job.ready.contains_key(&(0, number)) { step_work } else { step_work / 2 };
+        let run_time = job.expected_run_time(usize::from(number));
+        let step_work = open.saturating_mul(step.demand.processor.0).saturating_mul(run_time.0);
+        let counted = if job.ready.contains_key(&(0, number)) { step_work } else { step_work / 2 };
+        work = work.saturating_add(counted);
     }
     work
 }
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -89,6 +89,8 @@
 pub(crate) const OFFERED_VM_RETENTION: Millis = Millis(600);
 /// Minimum interval between two changes of a pool's requested and offered VMs.
 pub(crate) const MIN_DEMAND_INTERVAL: Millis = Millis(150);
+/// Minimum interval between two writes of a pool's measured run times.
+pub(crate) const MIN_RUN_TIMES_INTERVAL: Millis = Millis(5_000);
 /// Duration after which a VM that is no longer offered gets starts again.
 pub(crate) const WITHDRAWN_OFFER_PAUSE: Millis = Millis(1_000);
 /// Maximum rate error of a minion's clock in per mille, with some margin.
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -20,6 +20,7 @@
 mod ownership;
 mod reads;
 mod replaced_minions;
+mod run_times;
 mod saving;
 mod seeded_runs;
 mod simulation;
--- a/crates/fleet/tests/rules/minion.rs
+++ b/crates/fleet/tests/rules/minion.rs
@@ -49,6 +49,8 @@
     pub saved_end: u64,
     /// Time from the order to stop a run until the run has stopped, in milliseconds.
     pub stop_duration_ms: u64,
+    /// Factor by which runs take longer than on other minions; it outlasts an incarnation.
+    pub slowdown: u64,
 }
 
 /// Event on a minion, for the rule checker.
@@ -99,6 +101,7 @@
             closed_runs: BTreeMap::new(),
             saved_end: 0,
             stop_duration_ms: STOP_DURATION_MS,
+            slowdown: 1,
         }
     }
 
@@ -120,8 +123,9 @@
         report.minion_incarnation = now + 1;
         report.is_draining = false;
         let (clock_permille, is_partitioned) = (self.clock_permille, self.is_partitioned);
+        let slowdown = self.slowdown;
         *self = Self::new(report, now, clock_permille);
-        self.is_partitioned = is_partitioned;
+        (self.is_partitioned, self.slowdown) = (is_partitioned, slowdown);
     }
 
     /// Returns the time since the start of the incarnation by the minion's clock, in
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -13,8 +13,8 @@
 use std::collections::BTreeMap;
 
 use fleet::io::{
-    CloudAnswer, CloudCall, ItemValue, MinionAnswer, MinionCall, MinionTarget, OrderRefusal,
-    StoreAnswer, StoreCall,
+    CloudAnswer, CloudCall, EndKind, ItemValue, MinionAnswer, MinionCall, MinionTarget,
+    OrderRefusal, StoreAnswer, StoreCall,
 };
 use fleet::model::{DaemonCapacity, FleetConfig, FleetSettings, LinkRate, MinionReport, WaveOrder};
 use fleet::{
@@ -207,6 +207,10 @@
     pub fence_rule: FenceRule,
     pub operator: Operator,
     pub faults: ActiveFaults,
+    /// Run time of each task of a job, in milliseconds, for jobs whose runs take no random time.
+    pub true_run_ms: BTreeMap<JobId, u64>,
+    /// Ends of all runs, each with its virtual time, minion and kind.
+    pub ended_runs: Vec<(u64, MinionId, TaskName, EndKind)>,
     /// Processor time that events cost; `None` if steps take no time.
     pub processor_cost: Option<ProcessorCost>,
     /// Number of orders to minions under a fencing token whose ownership record did not exist
@@ -260,6 +264,8 @@
             fence_rule: FenceRule::default(),
             operator: Operator::new(seed, &config),
             faults: ActiveFaults::default(),
+            true_run_ms: BTreeMap::new(),
+            ended_runs: Vec::new(),
             processor_cost: None,
             orders_without_ownership: 0,
             accepted_count: 0,
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -320,7 +320,12 @@
             MinionCall::Start { task, .. } => self.find_step(task),
             _ => None,
         };
+        let true_run_ms = match &order {
+            MinionCall::Start { task, .. } => self.true_run_ms.get(&task.job).copied(),
+            _ => None,
+        };
         let fake = self.minions.get_mut(&target.minion).expect("minion is reachable");
+        let run_ms = true_run_ms.unwrap_or(run_ms) * fake.slowdown;
         let (answer, minion_events) =
             fake.execute_order(self.now, fencing_token, &order, step.as_ref(), (run_ms, fails));
         let hold_wait = match (&order, &answer) {
--- a/crates/fleet/tests/rules/simulation/environment.rs
+++ b/crates/fleet/tests/rules/simulation/environment.rs
@@ -111,6 +111,7 @@
                     self.checker.record_start(self.now, &self.config, &report, &task, run, is_late);
                 }
                 MinionEvent::Ended { task, run, kind, number } => {
+                    self.ended_runs.push((self.now, id.clone(), task.clone(), kind));
                     self.checker.record_finished_run(
                         id,
                         report.minion_incarnation,
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -197,38 +197,67 @@
         })
     }
 
-    /// Returns the estimated run time of the critical path through the steps.
+    /// Returns the declared run time of the critical path through the steps.
     pub fn critical_path(&self) -> Millis {
-        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let dependency_ends =
-                step.after.iter().filter_map(|after| ends.get(usize::from(*after)));
-            let start = dependency_ends.copied().max().unwrap_or(0);
-            ends.push(start + step.estimate.0);
-        }
-        Millis(ends.into_iter().max().unwrap_or(0))
+        self.critical_path_by(self.declared_run_times())
+    }
+
+    /// Returns the run time of the critical path through the steps; `run_time` gives that of a task of
+    /// each step, by the step's index.
+    pub fn critical_path_by(&self, run_time: impl Fn(usize) -> Millis) -> Millis {
+        self.longest_path(run_time)
     }
 
-    /// Returns the estimated run time of the critical path through those steps of an occurrence
-    /// that are not done.
+    /// Returns the declared run time of the critical path through those steps of an occurrence that
+    /// are not done.
     pub fn remaining_critical_path(&self, progress: &JobProgress, occurrence: u32) -> Millis {
+        self.remaining_critical_path_by(progress, occurrence, self.declared_run_times())
+    }
+
+    /// Returns the run time of the critical path through those steps of an occurrence that are not
+    /// done; `run_time` gives that of a task of each step, by the step's index.
+    pub fn remaining_critical_path_by(
+        &self,
+        progress: &JobProgress,
+        occurrence: u32,
+        run_time: impl Fn(usize) -> Millis,
+    ) -> Millis {
+        // A step that is done leaves the steps before it behind as well, as they are done too.
+        self.longest_path(|step| {
+            let is_done = progress.is_step_done(self, occurrence, step as u16);
+            if is_done { Millis(0) } else { run_time(step) }
+        })
+    }
+
+    /// Returns the longest sum of run times over steps that follow each other.
+    fn longest_path(&self, run_time: impl Fn(usize) -> Millis) -> Millis {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
         for (index, step) in self.steps.iter().enumerate() {
             let dependency_ends =
                 step.after.iter().filter_map(|after| ends.get(usize::from(*after)));
             let start = dependency_ends.copied().max().unwrap_or(0);
-            let is_done = progress.is_step_done(self, occurrence, index as u16);
-            ends.push(if is_done { 0 } else { start + step.estimate.0 });
+            ends.push(start.saturating_add(run_time(index).0));
         }
         Millis(ends.into_iter().max().unwrap_or(0))
     }
 
-    /// Returns the estimated processor time of one occurrence, in millicores times milliseconds.
+    /// Returns the declared processor time of one occurrence, in millicores times milliseconds.
     pub fn estimated_work(&self) -> u64 {
-        let step_work = |step: &StepSpec| {
-            u64::from(step.tasks) * step.demand.processor.0 * step.estimate.0.max(1)
+        self.work_by(self.declared_run_times())
+    }
+
+    /// Returns the processor time of one occurrence, in millicores times milliseconds; `run_time`
+    /// gives the run time of a task of each step, by the step's index.
+    pub fn work_by(&self, run_time: impl Fn(usize) -> Millis) -> u64 {
+        let step_work = |(index, step): (usize, &StepSpec)| {
+            let millicores = u64::from(step.tasks).saturating_mul(step.demand.processor.0);
+            millicores.saturating_mul(run_time(index).0.max(1))
         };
-        self.steps.iter().map(step_work).sum()
+        self.steps.iter().enumerate().map(step_work).fold(0, u64::saturating_add)
+    }
+
+    fn declared_run_times(&self) -> impl Fn(usize) -> Millis {
+        |step| self.steps[step].estimate
     }
 
     /// Returns whether the job has a long-running step and so ends only when it is cancelled.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,3 +12,5 @@
 mod run_times;
 mod shares;
 mod vm_health;
+
+pub use run_times::{QueueCorrection, RunTimeRecord, RunTimeTable, ShapeKey};
