--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -82,11 +82,18 @@
     pub(super) first_run_at: Option<Moment>,
     /// Whether an earlier owner may have started runs that no minion has listed yet.
     pub(super) may_have_unknown_runs: bool,
+    /// Expected run time of a task of each step (`run_times`).
+    expected_run_times: Box<[Millis]>,
+    /// Version of the run-time table that the expected run times are from.
+    pub(super) run_times_version: u64,
+    /// Number of the job's runs that the run-time table has.
+    pub(super) run_time_samples: u8,
 }
 
 impl OwnedJob {
     /// Creates a job without progress.
     pub(super) fn new(accepted: AcceptedJob, phase: JobPhase, outcome_revision: Revision) -> Self {
+        let declared = accepted.spec.steps.iter().map(|step| step.estimate).collect();
         Self {
             spec: Arc::new(accepted.spec),
             queue: accepted.queue,
@@ -110,6 +117,9 @@
             is_phase_dirty: false,
             first_run_at: None,
             may_have_unknown_runs: false,
+            expected_run_times: declared,
+            run_times_version: 0,
+            run_time_samples: 0,
         }
     }
 
@@ -282,7 +292,25 @@
         self.ready.keys().next().map_or(0, |(occurrence, _)| *occurrence)
     }
 
-    /// Returns the time by which the job should be complete, in milliseconds since 1970.
+    /// Replaces the expected run times; there is one for each step.
+    pub(super) fn set_expected_run_times(&mut self, run_times: Box<[Millis]>, version: u64) {
+        self.expected_run_times = run_times;
+        self.run_times_version = version;
+    }
+
+    /// Returns the expected run time of a task of a step.
+    pub(super) fn expected_run_time(&self, step: usize) -> Millis {
+        self.expected_run_times.get(step).copied().unwrap_or_default()
+    }
+
+    /// Returns the expected processor time of one occurrence, in millicores times milliseconds.
+    pub(super) fn expected_work(&self) -> u64 {
+        self.spec.work_by(|step| self.expected_run_time(step))
+    }
+
+    /// Returns the time by which the job should be complete, in milliseconds since 1970. The objective
+    /// that submitters get is by the true critical path, which the expected one is closer to than the
+    /// declared one.
     pub(super) fn objective_ms(&self) -> u64 {
         self.earliest_start_ms().saturating_add(self.objective_span().0)
     }
@@ -302,15 +330,11 @@
     }
 
     fn objective_span(&self) -> Millis {
-        let critical_path_ms = self.spec.critical_path().0 as f64 * self.terms.slack_factor;
+        let critical_path = self.spec.critical_path_by(|step| self.expected_run_time(step));
+        let critical_path_ms = critical_path.0 as f64 * self.terms.slack_factor;
         Millis((critical_path_ms as u64).saturating_add(self.terms.latency_objective.0))
     }
 
-    /// Returns the expected run time of one task of a step.
-    fn expected_run_time(&self, step: &StepSpec) -> Millis {
-        step.estimate
-    }
-
     /// Describes what is left to start, for the selection of jobs in a full pool.
     pub(super) fn load(&self) -> JobLoad {
         JobLoad {
@@ -333,7 +357,7 @@
             let live = self.live.range((occurrence, number, 0)..=(occurrence, number, u32::MAX));
             let open = u64::from(step.tasks.saturating_sub(done));
             let unstarted = open.saturating_sub(live.count() as u64);
-            let run_time = self.expected_run_time(step);
+            let run_time = self.expected_run_time(index);
             let task_work = reservation_for(step).processor.0.saturating_mul(run_time.0);
             let work = task_work.saturating_mul(unstarted);
             let load = StepLoad { run_time, remaining_path: paths[index], work };
@@ -346,7 +370,7 @@
     fn remaining_paths(&self) -> Vec<Millis> {
         let mut paths = vec![Millis(0); self.spec.steps.len()];
         for (index, step) in self.spec.steps.iter().enumerate().rev() {
-            let path = paths[index].0.saturating_add(self.expected_run_time(step).0);
+            let path = paths[index].0.saturating_add(self.expected_run_time(index).0);
             paths[index] = Millis(path);
             for after in &step.after {
                 let before = &mut paths[usize::from(*after)];
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -98,6 +98,7 @@
         for job in self.jobs.take_unranked() {
             self.work.add(1);
             let previous = self.ready_queue.remove(&job);
+            self.update_expected_run_times(context.clock.now, &job);
             let Some(owned) = self.jobs.get(&job) else {
                 self.overload.remove(&job);
                 continue;
@@ -328,6 +329,7 @@
                 reported_metric: None,
                 processor_share: 100,
                 confirmed_at: now,
+                is_measurable: !job.checkpoints.contains_key(&position),
             },
         );
         capacity.update_minion(id, &free_before, &minion.free_capacity());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,4 +14,5 @@
 mod vm_health;
 
 pub use overload::{JobClass, JobLoad, PoolCapacity, StepLoad, select_jobs};
+pub use run_times::{QueueCorrection, RunTimeRecord, RunTimeTable, ShapeKey};
 pub use shares::{TeamShares, TeamUse};
