--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,7 +7,7 @@
 mod admission;
 mod capacity;
 mod data_wait;
-mod forecast;
+pub mod forecast;
 mod overload;
 mod run_times;
 mod shares;
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -44,7 +44,7 @@
 pub use lists::{parse_grants, parse_plans};
 pub use member::{MemberDoc, MemberRecord};
 pub use quantity::{
-    AcceleratorCount, Cores, Mebibytes, Millicores, Millis, Moment, Revision, SlotCount,
+    AcceleratorCount, Cores, Mebibytes, Millicores, Millis, Moment, Rate, Revision, SlotCount,
 };
 pub use settings::{DaemonSettings, LogFormat, parse_daemon_settings};
 pub use team::{JobRecord, JobSpec, JobState, TeamDoc};
--- a/crates/state/src/quantity.rs
+++ b/crates/state/src/quantity.rs
@@ -45,6 +45,9 @@
     Cores(u32), "";
     /// Processor capacity in millicores, which are thousandths of a processor core.
     Millicores(u64), "m";
+    /// Rate of arriving work, in millicores: millicores times milliseconds of work for each
+    /// millisecond.
+    Rate(u64), "m";
     /// Number of accelerators.
     AcceleratorCount(u32), "";
     /// Memory in MiB.
