--- a/crates/fleet/src/pool/demand.rs
+++ b/crates/fleet/src/pool/demand.rs
@@ -1,36 +1,28 @@
 //! Computes how many VMs the pool requests and which VMs it offers to other pools.
 //!
-//! The pool's open work, by the submitters' estimates, should be done within about the
-//! latency objective of the pool's jobs, which takes a certain number of cores. Work that
-//! arrives faster than it can be done counts as well, before a backlog has built up,
-//! because a new VM takes seconds to arrive. A pool with fewer cores requests VMs. A pool
-//! with more VMs than it needs, and more than it had at first, drains VMs without
-//! long-running tasks and offers them. A VM whose offer was withdrawn gets no starts for a
+//! `policy::plan_capacity` computes how many VMs the pool should have. A pool with fewer
+//! requests VMs. A pool with more drains all surplus VMs without long-running tasks side by side,
+//! and offers each of them once it is drained. A VM whose offer was withdrawn gets no starts for a
 //! while, because an order to move the VM may be in flight.
 
 use std::collections::BTreeSet;
 
-use state::{Millis, MinionId, Moment, Revision, VmId};
+use policy::{CapacityPlan, PoolLoad, plan_capacity};
+use state::{Millicores, Millis, MinionId, Moment, Revision, VmId};
 
 use super::minion::OwnedMinion;
 use super::work_estimate::WorkEstimate;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
 use crate::key::{OwnKey, StoreKey};
-use crate::records::{PoolDemand, encode};
+use crate::records::{PoolDemand, VmMaintenance, encode};
 use crate::timing::{COMMIT_RETRY_DELAY, MIN_DEMAND_INTERVAL, WITHDRAWN_OFFER_PAUSE};
-use crate::vm_controller::incomplete_waves;
+use crate::vm_controller::{incomplete_waves, wave_progress_of};
 
-/// Time in which the open work should be done, in milliseconds.
-const BACKLOG_TARGET_MS: u64 = 1_500;
-/// Time over which arriving work is measured, in milliseconds.
-const ARRIVAL_WINDOW_MS: u64 = 1_000;
-/// Maximum number of VMs that a pool requests besides its own.
-const MAX_REQUESTED_VMS: u64 = 24;
-/// Cores that a pool retains, in percent of the cores that its work needs.
-const RETAINED_PERCENT: u64 = 150;
 /// Time for which a pool must have had a surplus of VMs before it offers one.
 const SURPLUS_DURATION: Millis = Millis(1_000);
+/// Time after which an owner has read the reports of its pool's minions.
+const INITIAL_VMS_DELAY: Millis = Millis(3_000);
 
 /// State of the pool's demand, as last written for the VM controller.
 #[derive(Debug, Default)]
@@ -48,6 +40,8 @@
     draining_vms: BTreeSet<VmId>,
     /// Time since which the pool has had more VMs than it needs.
     surplus_since: Option<Moment>,
+    /// Number of VMs that the pool had when this owner had found them; `None` until then.
+    initial_vms: Option<u32>,
 }
 
 impl PoolOwner {
@@ -67,8 +61,9 @@
         if self.demand.is_write_in_flight || now < self.demand.next_write_at {
             return;
         }
-        let (requested_vms, retained_vms) = self.compute_demand(context);
-        self.choose_vm_to_drain(context, requested_vms, retained_vms);
+        self.note_initial_vms(now);
+        let plan = self.compute_demand(context);
+        self.choose_vms_to_drain(context, &plan);
         let offered_vms: BTreeSet<VmId> = self
             .demand
             .draining_vms
@@ -76,19 +71,26 @@
             .filter(|vm| self.minion_of_vm(vm).is_some_and(|minion| minion.is_drained(now)))
             .cloned()
             .collect();
-        let is_first_request = requested_vms > 0 && self.demand.written_demand.baseline == 0;
-        let baseline_vms = if is_first_request {
-            self.count_retained_vms() as u32
-        } else {
-            self.demand.written_demand.baseline
+        let next = PoolDemand {
+            requested: plan.requested,
+            offered: offered_vms,
+            baseline: self.demand.initial_vms.unwrap_or(self.demand.written_demand.baseline),
         };
-        let next =
-            PoolDemand { requested: requested_vms, offered: offered_vms, baseline: baseline_vms };
         if next != self.demand.written_demand {
             self.write_demand(context, next);
         }
     }
 
+    /// Notes how many VMs the pool had at first, unless an earlier owner has noted it.
+    fn note_initial_vms(&mut self, now: Moment) {
+        let has_found_vms = now >= self.owned_since + INITIAL_VMS_DELAY;
+        if self.demand.initial_vms.is_none() && has_found_vms {
+            let noted_vms = self.demand.written_demand.baseline;
+            let vms = if noted_vms > 0 { noted_vms } else { self.count_retained_vms() as u32 };
+            self.demand.initial_vms = Some(vms).filter(|vms| *vms > 0);
+        }
+    }
+
     /// Updates the estimates of the jobs that have changed.
     fn estimate_changed_jobs(&mut self) {
         for job in self.jobs.take_unestimated() {
@@ -112,9 +114,8 @@
         vm.is_some_and(|vm| self.demand.draining_vms.contains(vm))
     }
 
-    /// Returns the number of VMs to request besides the present ones, and the number to
-    /// retain.
-    fn compute_demand(&self, context: &StepContext) -> (u32, usize) {
+    /// Computes the VMs to request and to retain.
+    fn compute_demand(&self, context: &StepContext) -> CapacityPlan {
         self.work.add(self.minions.len());
         let usable = self.minions.values().filter(|minion| {
             minion.is_listed
@@ -122,31 +123,22 @@
                 && !minion.report.is_draining
                 && !context.shared.evacuated_data_centres.contains(&minion.report.data_centre)
         });
-        let mut total_millicores = 0;
-        let mut count = 0;
-        let mut long_running_millicores = 0;
+        let mut load = PoolLoad {
+            open_work: self.demand.estimate.open_work(),
+            arrival_rate: self.demand.estimate.arrival_rate(context.clock.wall_ms),
+            initial_vms: self.demand.written_demand.baseline,
+            ..PoolLoad::default()
+        };
         for minion in usable {
-            total_millicores += minion.report.capacity.processor.0;
-            count += 1;
-            long_running_millicores += minion.long_running_millicores;
-        }
-        let millicores_per_vm =
-            total_millicores.checked_div(count).unwrap_or_else(|| typical_capacity(context));
-        if millicores_per_vm == 0 {
-            return (0, self.minions.len());
+            load.capacity.0 += minion.report.capacity.processor.0;
+            load.long_running.0 += minion.long_running_millicores;
+            load.vms += 1;
         }
-        let work = self.demand.estimate.open_work();
-        let since_ms = context.clock.wall_ms.saturating_sub(ARRIVAL_WINDOW_MS);
-        let new_work = self.demand.estimate.work_accepted_after(since_ms);
-        let needed =
-            (work / BACKLOG_TARGET_MS).max(new_work / ARRIVAL_WINDOW_MS) + long_running_millicores;
-        let requested_vms = needed
-            .saturating_sub(total_millicores)
-            .div_ceil(millicores_per_vm)
-            .min(MAX_REQUESTED_VMS);
-        let vms_to_retain = (needed * RETAINED_PERCENT / 100).div_ceil(millicores_per_vm);
-        let requested_vms = (requested_vms as u32).max(self.count_unplaced_long_running());
-        (requested_vms, vms_to_retain as usize)
+        let mean_capacity = load.capacity.0.checked_div(u64::from(load.vms));
+        load.vm_capacity = Millicores(mean_capacity.unwrap_or_else(|| typical_capacity(context)));
+        let mut plan = plan_capacity(&load);
+        plan.requested = plan.requested.max(self.count_unplaced_long_running());
+        plan
     }
 
     /// Returns the maximum number of unplaced tasks of one long-running job, since each of
@@ -158,39 +150,34 @@
         ready.max().unwrap_or(0) as u32
     }
 
-    /// Chooses a VM to drain if the pool has had a surplus for long enough. Withdraws all
-    /// offers if the pool requests VMs.
-    fn choose_vm_to_drain(
-        &mut self,
-        context: &StepContext,
-        requested_vms: u32,
-        retained_vms: usize,
-    ) {
+    /// Drains the surplus VMs if the pool has had a surplus for long enough. Withdraws all offers if
+    /// the pool requests VMs.
+    fn choose_vms_to_drain(&mut self, context: &StepContext, plan: &CapacityPlan) {
         let now = context.clock.now;
         let known: BTreeSet<VmId> =
             self.minions.values().filter_map(|minion| minion.report.vm.clone()).collect();
         self.demand.draining_vms.retain(|vm| known.contains(vm));
-        if requested_vms > 0 {
+        if plan.requested > 0 {
             self.demand.surplus_since = None;
             return self.withdraw_offers(now);
         }
-        let wave_vms: BTreeSet<VmId> =
-            incomplete_waves(context).into_iter().flat_map(|order| order.vms).collect();
-        // Until its first request a pool has only its own VMs and a baseline of 0, and offers
-        // no VM.
-        let baseline_vms = self.demand.written_demand.baseline as usize;
-        if baseline_vms == 0 || self.count_retained_vms() <= retained_vms.max(baseline_vms) {
+        let surplus = self.count_retained_vms().saturating_sub(plan.retained as usize);
+        if surplus == 0 || self.demand.initial_vms.is_none() {
             self.demand.surplus_since = None;
             return;
         }
         let surplus_start = *self.demand.surplus_since.get_or_insert(now);
-        if now - surplus_start >= SURPLUS_DURATION
-            && let Some(id) = self.least_loaded_minion(&wave_vms)
-            && let Some(minion) = self.minions.get_mut(&id)
-            && let Some(vm) = minion.report.vm.clone()
-        {
-            minion.is_being_drained = true;
-            self.demand.draining_vms.insert(vm);
+        if now - surplus_start < SURPLUS_DURATION {
+            return;
+        }
+        let wave_vms = waiting_wave_vms(context);
+        for id in self.least_loaded_minions(&wave_vms, surplus) {
+            if let Some(minion) = self.minions.get_mut(&id)
+                && let Some(vm) = minion.report.vm.clone()
+            {
+                minion.is_being_drained = true;
+                self.demand.draining_vms.insert(vm);
+            }
         }
     }
 
@@ -202,9 +189,9 @@
         self.minions.values().filter(is_retained).count()
     }
 
-    /// Finds the minion with the least reserved processor time that runs no long-running
+    /// Finds up to `count` minions with the least reserved processor time that run no long-running
     /// task.
-    fn least_loaded_minion(&self, wave_vms: &BTreeSet<VmId>) -> Option<MinionId> {
+    fn least_loaded_minions(&self, wave_vms: &BTreeSet<VmId>, count: usize) -> Vec<MinionId> {
         let may_drain = |minion: &&OwnedMinion| {
             minion.is_listed
                 && minion.is_fenced
@@ -213,9 +200,9 @@
                 && minion.report.vm.as_ref().is_some_and(|vm| !wave_vms.contains(vm))
                 && minion.long_running_runs == 0
         };
-        let candidates = self.minions.values().filter(may_drain);
-        let least = candidates.min_by_key(|minion| minion.used.processor.0);
-        least.map(|minion| minion.report.minion.clone())
+        let mut candidates: Vec<&OwnedMinion> = self.minions.values().filter(may_drain).collect();
+        candidates.sort_by_key(|minion| minion.used.processor.0);
+        candidates.iter().take(count).map(|minion| minion.report.minion.clone()).collect()
     }
 
     /// Withdraws every offer. A VM that was offered gets no starts for
@@ -276,6 +263,17 @@
     }
 }
 
+/// Returns the VMs whose maintenance in an incomplete wave has not ended; they are not moved.
+fn waiting_wave_vms(context: &StepContext) -> BTreeSet<VmId> {
+    let mut waiting_vms = BTreeSet::new();
+    for order in incomplete_waves(context) {
+        let progress = wave_progress_of(context, order.wave);
+        let is_waiting = |vm: &VmId| progress.vms.get(vm) != Some(&VmMaintenance::Done);
+        waiting_vms.extend(order.vms.into_iter().filter(is_waiting));
+    }
+    waiting_vms
+}
+
 /// Returns the processor capacity of a VM, in millicores: the maximum over the reports of
 /// all pools' minions.
 fn typical_capacity(context: &StepContext) -> u64 {
--- a/crates/fleet/src/pool/work_estimate.rs
+++ b/crates/fleet/src/pool/work_estimate.rs
@@ -2,10 +2,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use state::JobId;
+use state::{JobId, Millicores};
 
 use super::job::OwnedJob;
 
+/// Times over which arriving work is measured, in milliseconds.
+const ARRIVAL_WINDOWS_MS: [u64; 3] = [250, 500, LONGEST_WINDOW_MS];
+/// Longest time over which arriving work is measured, in milliseconds.
+const LONGEST_WINDOW_MS: u64 = 1_000;
+
 /// Estimate for one job, in millicores times milliseconds.
 #[derive(Debug, Clone, Copy)]
 struct JobEstimate {
@@ -57,12 +62,25 @@
         self.open_work.try_into().unwrap_or(u64::MAX)
     }
 
-    /// Returns the work of the jobs that were accepted after a time, in milliseconds since
-    /// 1970.
-    pub(super) fn work_accepted_after(&self, wall_ms: u64) -> u64 {
-        let newest = self.arrivals.iter().rev().take_while(|(at, _)| *at > wall_ms);
-        let work = newest.filter_map(|(_, job)| self.jobs.get(job)?.arriving_work);
-        work.fold(0, u64::saturating_add)
+    /// Returns the rate at which work has arrived lately: the highest one over
+    /// [`ARRIVAL_WINDOWS_MS`], so that the beginning of a burst shows before a whole second of it
+    /// has passed. The rate over a shorter window counts only as far as the number and the sizes
+    /// of its jobs make it certain. `wall_ms` is the time in milliseconds since 1970.
+    pub(super) fn arrival_rate(&self, wall_ms: u64) -> Millicores {
+        let rates = ARRIVAL_WINDOWS_MS.iter().map(|window| self.rate_over(wall_ms, *window));
+        Millicores(rates.max().unwrap_or(0))
+    }
+
+    fn rate_over(&self, wall_ms: u64, window_ms: u64) -> u64 {
+        let since_ms = wall_ms.saturating_sub(window_ms);
+        let newest = self.arrivals.iter().rev().take_while(|(at, _)| *at > since_ms);
+        let (mut sum, mut squares) = (0.0, 0.0);
+        for work in newest.filter_map(|(_, job)| self.jobs.get(job)?.arriving_work) {
+            sum += work as f64;
+            squares += (work as f64).powi(2);
+        }
+        let deviation = if window_ms < LONGEST_WINDOW_MS { squares.sqrt() } else { 0.0 };
+        ((sum - deviation).max(0.0) / window_ms as f64) as u64
     }
 
     /// Returns the long-running jobs.
--- a/crates/fleet/src/vm_controller/mod.rs
+++ b/crates/fleet/src/vm_controller/mod.rs
@@ -308,6 +308,10 @@
             (VmControllerCall::Move { vm, .. }, answer) => {
                 self.pending_orders.remove(&vm);
                 self.log_order(context, "move-vm", &vm, &answer);
+                if matches!(answer, CloudAnswer::NotNow | CloudAnswer::Refused(_)) {
+                    // The order was not carried out, so another VM may be moved instead.
+                    self.recent_moves.remove(&vm);
+                }
                 if answer != CloudAnswer::Done {
                     self.next_order_at = now + VM_LIST_INTERVAL;
                 }
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -1,1 +1,97 @@
 //! Decides how many VMs a pool requests and how many it gives back.
+//!
+//! The load: each queue asks in turns for several times its mean, for seconds at a time, and for
+//! almost nothing in between, while a VM takes about two seconds from the request to its first
+//! task. A pool therefore requests all VMs that its work needs as soon as the need is certain, and
+//! retains between two bursts only
+//!
+//! - what its long-running tasks and its open work need,
+//! - enough capacity to carry the beginning of the next burst until more VMs arrive, and
+//! - a reserve for the loss of VMs (`docs/design/capacity.md`).
+//!
+//! A pool that has seen no burst yet assumes one as large as the pool that it was given.
+
+use state::{Millicores, Millis};
+
+/// Time in which the open work should be done.
+const BACKLOG_TARGET: Millis = Millis(1_500);
+/// Capacity that a pool retains for its open work, in percent of what the work needs.
+const RETAINED_PERCENT: u64 = 150;
+/// Capacity that a pool retains for the beginning of a burst, in percent of the burst's rate. A
+/// task that waits for the rest of the VMs for as long as a move takes can then still meet an
+/// objective of 1.6 times its run time and 600 ms.
+const ONSET_PERCENT: u64 = 50;
+/// VMs that a pool retains for the loss of others, in percent.
+const LOSS_RESERVE_PERCENT: u64 = 5;
+
+/// Load and capacity of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PoolLoad {
+    /// Number of VMs on which tasks may start.
+    pub vms: u32,
+    /// Processor capacity of these VMs together.
+    pub capacity: Millicores,
+    /// Processor capacity of one VM.
+    pub vm_capacity: Millicores,
+    /// Processor time that long-running tasks reserve.
+    pub long_running: Millicores,
+    /// Work that is accepted and not done, in millicores times milliseconds.
+    pub open_work: u64,
+    /// Rate at which work has arrived lately.
+    pub arrival_rate: Millicores,
+    /// Rate of the work that is expected to arrive while a VM moves; `None` without a forecast.
+    pub expected_rate: Option<Millicores>,
+    /// Rate of the highest recent burst; `None` if the pool has seen none.
+    pub peak_rate: Option<Millicores>,
+    /// Number of VMs that the pool had at first.
+    pub initial_vms: u32,
+}
+
+/// Number of VMs that a pool should have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct CapacityPlan {
+    /// VMs to request in addition to those that the pool has.
+    pub requested: u32,
+    /// VMs that the pool does not give back.
+    pub retained: u32,
+}
+
+/// Computes the VMs that a pool requests and retains.
+pub fn plan_capacity(load: &PoolLoad) -> CapacityPlan {
+    let vm_capacity = load.vm_capacity.0;
+    if vm_capacity == 0 {
+        return CapacityPlan { requested: 0, retained: load.vms };
+    }
+    let present_need = work_rate(load).saturating_add(load.long_running.0);
+    let coming_need =
+        load.expected_rate.map_or(0, |rate| rate.0.saturating_add(load.long_running.0));
+    let missing = present_need.max(coming_need).saturating_sub(load.capacity.0);
+    let for_work = (present_need.saturating_mul(RETAINED_PERCENT) / 100).max(coming_need);
+    let for_onset = onset_rate(load).saturating_add(load.long_running.0);
+    let retained = for_work.max(for_onset).div_ceil(vm_capacity);
+    let with_reserve = retained.saturating_add((retained * LOSS_RESERVE_PERCENT).div_ceil(100));
+    CapacityPlan {
+        requested: to_count(missing.div_ceil(vm_capacity)),
+        retained: to_count(with_reserve),
+    }
+}
+
+/// Returns the capacity that does the open and the arriving work in time.
+fn work_rate(load: &PoolLoad) -> u64 {
+    (load.open_work / BACKLOG_TARGET.0).max(load.arrival_rate.0)
+}
+
+/// Returns the capacity that carries the beginning of a burst. A forecast replaces it: the VMs are
+/// then requested before the burst begins.
+fn onset_rate(load: &PoolLoad) -> u64 {
+    if load.expected_rate.is_some() {
+        return 0;
+    }
+    let initial_rate = u64::from(load.initial_vms) * load.vm_capacity.0;
+    let peak = load.peak_rate.map_or(initial_rate, |rate| rate.0);
+    peak.saturating_mul(ONSET_PERCENT) / 100
+}
+
+fn to_count(vms: u64) -> u32 {
+    vms.try_into().unwrap_or(u32::MAX)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,3 +12,5 @@
 mod run_times;
 mod shares;
 mod vm_health;
+
+pub use capacity::{CapacityPlan, PoolLoad, plan_capacity};
