--- a/crates/fleet/src/pool/demand.rs
+++ b/crates/fleet/src/pool/demand.rs
@@ -21,8 +21,6 @@
 
 /// Time for which a pool must have had a surplus of VMs before it offers one.
 const SURPLUS_DURATION: Millis = Millis(1_000);
-/// Time after which an owner has read the reports of its pool's minions.
-const INITIAL_VMS_DELAY: Millis = Millis(3_000);
 
 /// State of the pool's demand, as last written for the VM controller.
 #[derive(Debug, Default)]
@@ -40,8 +38,8 @@
     draining_vms: BTreeSet<VmId>,
     /// Time since which the pool has had more VMs than it needs.
     surplus_since: Option<Moment>,
-    /// Number of VMs that the pool had when this owner had found them; `None` until then.
-    initial_vms: Option<u32>,
+    /// Number of VMs that the pool had before its demand changed their number.
+    initial_vms: u32,
 }
 
 impl PoolOwner {
@@ -61,7 +59,7 @@
         if self.demand.is_write_in_flight || now < self.demand.next_write_at {
             return;
         }
-        self.note_initial_vms(now);
+        self.note_initial_vms();
         let plan = self.compute_demand(context);
         self.choose_vms_to_drain(context, &plan);
         let offered_vms: BTreeSet<VmId> = self
@@ -74,21 +72,25 @@
         let next = PoolDemand {
             requested: plan.requested,
             offered: offered_vms,
-            baseline: self.demand.initial_vms.unwrap_or(self.demand.written_demand.baseline),
+            baseline: if plan.requested > 0 || !self.demand.draining_vms.is_empty() {
+                self.demand.initial_vms
+            } else {
+                self.demand.written_demand.baseline
+            },
+            known_vms: (plan.requested > 0).then(|| self.count_listed_vms()),
         };
         if next != self.demand.written_demand {
             self.write_demand(context, next);
         }
     }
 
-    /// Notes how many VMs the pool had at first, unless an earlier owner has noted it.
-    fn note_initial_vms(&mut self, now: Moment) {
-        let has_found_vms = now >= self.owned_since + INITIAL_VMS_DELAY;
-        if self.demand.initial_vms.is_none() && has_found_vms {
-            let noted_vms = self.demand.written_demand.baseline;
-            let vms = if noted_vms > 0 { noted_vms } else { self.count_retained_vms() as u32 };
-            self.demand.initial_vms = Some(vms).filter(|vms| *vms > 0);
-        }
+    /// Notes how many VMs the pool had before its demand changed their number.
+    fn note_initial_vms(&mut self) {
+        let written = &self.demand.written_demand;
+        let has_changed = written.baseline > 0 || !self.demand.draining_vms.is_empty();
+        let vms = self.count_retained_vms() as u32;
+        self.demand.initial_vms =
+            if has_changed { written.baseline } else { self.demand.initial_vms.max(vms) };
     }
 
     /// Updates the estimates of the jobs that have changed.
@@ -126,7 +128,7 @@
         let mut load = PoolLoad {
             open_work: self.demand.estimate.open_work(),
             arrival_rate: self.demand.estimate.arrival_rate(context.clock.wall_ms),
-            initial_vms: self.demand.written_demand.baseline,
+            initial_vms: self.demand.initial_vms,
             ..PoolLoad::default()
         };
         for minion in usable {
@@ -162,7 +164,7 @@
             return self.withdraw_offers(now);
         }
         let surplus = self.count_retained_vms().saturating_sub(plan.retained as usize);
-        if surplus == 0 || self.demand.initial_vms.is_none() {
+        if surplus == 0 {
             self.demand.surplus_since = None;
             return;
         }
@@ -181,6 +183,11 @@
         }
     }
 
+    /// Counts the VMs whose minions are listed, whether or not they are being drained.
+    fn count_listed_vms(&self) -> u32 {
+        self.minions.values().filter(|minion| minion.is_listed).count() as u32
+    }
+
     /// Counts the VMs that are present and are not being drained.
     fn count_retained_vms(&self) -> usize {
         let is_retained = |minion: &&OwnedMinion| {
--- a/crates/fleet/src/records.rs
+++ b/crates/fleet/src/records.rs
@@ -112,10 +112,13 @@
     /// Drained VMs that the pool offers to other pools.
     #[serde(rename = "spared")]
     pub offered: BTreeSet<VmId>,
-    /// Number of VMs that the pool had before it first requested more; the pool offers
-    /// none of these.
+    /// Number of VMs that the pool had at first.
     #[serde(rename = "own")]
     pub baseline: u32,
+    /// Number of VMs of the pool that its owner knew when it computed the request; VMs beyond
+    /// these have moved to the pool since. `None` in records of earlier versions.
+    #[serde(rename = "known", default)]
+    pub known_vms: Option<u32>,
 }
 
 /// Maintenance state of a VM in a wave.
--- a/crates/fleet/src/vm_controller/mod.rs
+++ b/crates/fleet/src/vm_controller/mod.rs
@@ -202,22 +202,14 @@
         }
     }
 
-    /// Lists each pool once per requested VM, less the VMs that are being moved to the
-    /// pool; the pools alternate.
+    /// Lists each pool once per requested VM, less the VMs that have been moved to the pool since
+    /// it made the request; the pools alternate.
     fn list_requesting_pools(&self, context: &StepContext) -> Vec<PoolId> {
         let mut remaining: Vec<(PoolId, usize)> = Vec::new();
         for (pool, demand) in &context.shared.demands {
-            let arriving = self.recent_moves.iter().filter(|(vm, (to, _))| {
-                let has_arrived = self
-                    .vms
-                    .get(*vm)
-                    .is_some_and(|known| known.pool == *pool && known.phase == VmPhase::Up);
-                to == pool && !has_arrived
-            });
-            remaining.push((
-                pool.clone(),
-                (demand.record.requested as usize).saturating_sub(arriving.count()),
-            ));
+            let arriving = self.count_arriving(pool, demand.record.known_vms);
+            let requested = demand.record.requested as usize;
+            remaining.push((pool.clone(), requested.saturating_sub(arriving)));
         }
         let mut requesting_pools = Vec::new();
         while remaining.iter().any(|(_, count)| *count > 0) {
@@ -231,6 +223,24 @@
         requesting_pools
     }
 
+    /// Counts the VMs that are on their way to a pool, or have arrived there and are not known to
+    /// its owner, who knew `known_vms` when it requested more.
+    fn count_arriving(&self, pool: &PoolId, known_vms: Option<u32>) -> usize {
+        let is_moving_there = |vm: &VmId| {
+            let target = self.recent_moves.get(vm).map(|(target, _)| target);
+            let is_there =
+                self.vms.get(vm).is_some_and(|vm| vm.pool == *pool && vm.phase == VmPhase::Up);
+            target == Some(pool) && !is_there
+        };
+        let moving = self.vms.keys().filter(|vm| is_moving_there(vm)).count();
+        let Some(known_vms) = known_vms else { return moving };
+        let is_up = |vm: &&VmReport| vm.pool == *pool && vm.phase == VmPhase::Up;
+        let leaving =
+            |vm: &VmReport| self.recent_moves.get(&vm.vm).is_some_and(|(target, _)| target != pool);
+        let up = self.vms.values().filter(is_up).filter(|vm| !leaving(vm)).count();
+        moving + up.saturating_sub(known_vms as usize)
+    }
+
     fn move_vm(&mut self, context: &mut StepContext, vm: &VmId, from: &PoolId, pool: PoolId) {
         self.unrequested_since.remove(vm);
         let inputs = format!("from pool {from}, {}", self.describe_basis(context));
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -9,7 +9,7 @@
 //! - enough capacity to carry the beginning of the next burst until more VMs arrive, and
 //! - a reserve for the loss of VMs (`docs/design/capacity.md`).
 //!
-//! A pool that has seen no burst yet assumes one as large as the pool that it was given.
+//! A pool that has seen no burst yet retains the VMs that it was given.
 
 use state::{Millicores, Millis};
 
@@ -87,9 +87,10 @@
     if load.expected_rate.is_some() {
         return 0;
     }
-    let initial_rate = u64::from(load.initial_vms) * load.vm_capacity.0;
-    let peak = load.peak_rate.map_or(initial_rate, |rate| rate.0);
-    peak.saturating_mul(ONSET_PERCENT) / 100
+    match load.peak_rate {
+        None => u64::from(load.initial_vms) * load.vm_capacity.0,
+        Some(peak) => peak.0.saturating_mul(ONSET_PERCENT) / 100,
+    }
 }
 
 fn to_count(vms: u64) -> u32 {
