Capacity: VMs are requested for all that a pool lacks, and follow a forecast

Cause: a pool requested at most 24 VMs however long its queue, and a VM that had arrived was counted only once its minion was listed. Change: the number follows the work that arrives and waits; VMs that have moved since the request are subtracted; several surplus VMs drain side by side; a pool gives back VMs that it was given only by a forecast of its bursts, which is kept in the pool's demand record.

--- a/crates/fleet/src/pool/demand.rs
+++ b/crates/fleet/src/pool/demand.rs
@@ -1,34 +1,26 @@
 //! Computes how many VMs the pool requests and which VMs it offers to other pools.
 //!
-//! The pool's open work, by the submitters' estimates, should be done within about the
-//! latency objective of the pool's jobs, which takes a certain number of cores. Work that
-//! arrives faster than it can be done counts as well, before a backlog has built up,
-//! because a new VM takes seconds to arrive. A pool with fewer cores requests VMs. A pool
-//! with more VMs than it needs, and more than it had at first, drains VMs without
-//! long-running tasks and offers them. A VM whose offer was withdrawn gets no starts for a
+//! `policy::plan_capacity` computes how many VMs the pool should have. A pool with fewer
+//! requests VMs. A pool with more drains all surplus VMs without long-running tasks side by side,
+//! and offers each of them once it is drained. A VM whose offer was withdrawn gets no starts for a
 //! while, because an order to move the VM may be in flight.
 
 use std::collections::BTreeSet;
 
-use state::{Millis, MinionId, Moment, Revision, VmId};
+use policy::{CapacityPlan, PoolLoad, TurnForecast, plan_capacity};
+use state::{Millicores, Millis, MinionId, Moment, Revision, VmId};
 
 use super::minion::OwnedMinion;
 use super::work_estimate::WorkEstimate;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
 use crate::key::{OwnKey, StoreKey};
-use crate::records::{PoolDemand, encode};
-use crate::timing::{COMMIT_RETRY_DELAY, MIN_DEMAND_INTERVAL, WITHDRAWN_OFFER_PAUSE};
-use crate::vm_controller::incomplete_waves;
+use crate::records::{PoolDemand, VmMaintenance, encode};
+use crate::timing::{
+    COMMIT_RETRY_DELAY, MIN_DEMAND_INTERVAL, VM_ARRIVAL_DELAY, WITHDRAWN_OFFER_PAUSE,
+};
+use crate::vm_controller::{incomplete_waves, wave_progress_of};
 
-/// Time in which the open work should be done, in milliseconds.
-const BACKLOG_TARGET_MS: u64 = 1_500;
-/// Time over which arriving work is measured, in milliseconds.
-const ARRIVAL_WINDOW_MS: u64 = 1_000;
-/// Maximum number of VMs that a pool requests besides its own.
-const MAX_REQUESTED_VMS: u64 = 24;
-/// Cores that a pool retains, in percent of the cores that its work needs.
-const RETAINED_PERCENT: u64 = 150;
 /// Time for which a pool must have had a surplus of VMs before it offers one.
 const SURPLUS_DURATION: Millis = Millis(1_000);
 
@@ -36,6 +28,8 @@
 #[derive(Debug, Default)]
 pub(super) struct DemandState {
     estimate: WorkEstimate,
+    /// Bursts of the pool's demand.
+    forecast: TurnForecast,
     /// Demand that was last written.
     written_demand: PoolDemand,
     /// Revision of the demand record in the store.
@@ -48,6 +42,8 @@
     draining_vms: BTreeSet<VmId>,
     /// Time since which the pool has had more VMs than it needs.
     surplus_since: Option<Moment>,
+    /// Number of VMs that the pool had before its demand changed their number.
+    initial_vms: u32,
 }
 
 impl PoolOwner {
@@ -67,8 +63,9 @@
         if self.demand.is_write_in_flight || now < self.demand.next_write_at {
             return;
         }
-        let (requested_vms, retained_vms) = self.compute_demand(context);
-        self.choose_vm_to_drain(context, requested_vms, retained_vms);
+        self.note_initial_vms();
+        let plan = self.compute_demand(context);
+        self.choose_vms_to_drain(context, &plan);
         let offered_vms: BTreeSet<VmId> = self
             .demand
             .draining_vms
@@ -76,24 +73,38 @@
             .filter(|vm| self.minion_of_vm(vm).is_some_and(|minion| minion.is_drained(now)))
             .cloned()
             .collect();
-        let is_first_request = requested_vms > 0 && self.demand.written_demand.baseline == 0;
-        let baseline_vms = if is_first_request {
-            self.count_retained_vms() as u32
-        } else {
-            self.demand.written_demand.baseline
+        let next = PoolDemand {
+            requested: plan.requested,
+            offered: offered_vms,
+            baseline: if plan.requested > 0 || !self.demand.draining_vms.is_empty() {
+                self.demand.initial_vms
+            } else {
+                self.demand.written_demand.baseline
+            },
+            turns: Some(self.demand.forecast.to_record()),
+            known_vms: (plan.requested > 0).then(|| self.count_listed_vms()),
         };
-        let next =
-            PoolDemand { requested: requested_vms, offered: offered_vms, baseline: baseline_vms };
         if next != self.demand.written_demand {
             self.write_demand(context, next);
         }
     }
 
+    /// Notes how many VMs the pool had before its demand changed their number.
+    fn note_initial_vms(&mut self) {
+        let written = &self.demand.written_demand;
+        let has_changed = written.baseline > 0 || !self.demand.draining_vms.is_empty();
+        let vms = self.count_retained_vms() as u32;
+        self.demand.initial_vms =
+            if has_changed { written.baseline } else { self.demand.initial_vms.max(vms) };
+    }
+
     /// Updates the estimates of the jobs that have changed.
     fn estimate_changed_jobs(&mut self) {
         for job in self.jobs.take_unestimated() {
             self.work.add(1);
-            self.demand.estimate.update(&job, self.jobs.get(&job));
+            if let Some(new) = self.demand.estimate.update(&job, self.jobs.get(&job)) {
+                self.demand.forecast.record_work(new.accepted_ms, new.work);
+            }
         }
     }
 
@@ -103,6 +114,8 @@
         if let Some(known_demand) = context.shared.demands.get(&self.pool) {
             self.demand.draining_vms = known_demand.record.offered.clone();
             self.demand.written_demand = known_demand.record.clone();
+            let turns = known_demand.record.turns.clone().unwrap_or_default();
+            self.demand.forecast = TurnForecast::from_record(turns);
             self.demand.revision = known_demand.revision;
         }
     }
@@ -112,9 +125,8 @@
         vm.is_some_and(|vm| self.demand.draining_vms.contains(vm))
     }
 
-    /// Returns the number of VMs to request besides the present ones, and the number to
-    /// retain.
-    fn compute_demand(&self, context: &StepContext) -> (u32, usize) {
+    /// Computes the VMs to request and to retain.
+    fn compute_demand(&self, context: &StepContext) -> CapacityPlan {
         self.work.add(self.minions.len());
         let usable = self.minions.values().filter(|minion| {
             minion.is_listed
@@ -122,31 +134,40 @@
                 && !minion.report.is_draining
                 && !context.shared.evacuated_data_centres.contains(&minion.report.data_centre)
         });
-        let mut total_millicores = 0;
-        let mut count = 0;
-        let mut long_running_millicores = 0;
+        let wall_ms = context.clock.wall_ms;
+        let mut load = PoolLoad {
+            open_work: self.demand.estimate.open_work(),
+            arrival_rate: self.demand.estimate.arrival_rate(wall_ms),
+            expected_rate: self.expected_rate(context),
+            peak_rate: Some(self.demand.forecast.recent_peak(wall_ms))
+                .filter(|peak| peak.0 > 0)
+                .map(|peak| Millicores(peak.0)),
+            initial_vms: self.demand.initial_vms,
+            ..PoolLoad::default()
+        };
         for minion in usable {
-            total_millicores += minion.report.capacity.processor.0;
-            count += 1;
-            long_running_millicores += minion.long_running_millicores;
+            load.capacity.0 += minion.report.capacity.processor.0;
+            load.long_running.0 += minion.long_running_millicores;
+            load.vms += 1;
         }
-        let millicores_per_vm =
-            total_millicores.checked_div(count).unwrap_or_else(|| typical_capacity(context));
-        if millicores_per_vm == 0 {
-            return (0, self.minions.len());
-        }
-        let work = self.demand.estimate.open_work();
-        let since_ms = context.clock.wall_ms.saturating_sub(ARRIVAL_WINDOW_MS);
-        let new_work = self.demand.estimate.work_accepted_after(since_ms);
-        let needed =
-            (work / BACKLOG_TARGET_MS).max(new_work / ARRIVAL_WINDOW_MS) + long_running_millicores;
-        let requested_vms = needed
-            .saturating_sub(total_millicores)
-            .div_ceil(millicores_per_vm)
-            .min(MAX_REQUESTED_VMS);
-        let vms_to_retain = (needed * RETAINED_PERCENT / 100).div_ceil(millicores_per_vm);
-        let requested_vms = (requested_vms as u32).max(self.count_unplaced_long_running());
-        (requested_vms, vms_to_retain as usize)
+        let mean_capacity = load.capacity.0.checked_div(u64::from(load.vms));
+        load.vm_capacity = Millicores(mean_capacity.unwrap_or_else(|| typical_capacity(context)));
+        let mut plan = plan_capacity(&load);
+        plan.requested = plan.requested.max(self.count_unplaced_long_running());
+        plan
+    }
+
+    /// Returns the rate of the work that is expected to arrive while a VM moves, or `None` without a
+    /// forecast. The bursts of all pools have one period if any pool has found one.
+    fn expected_rate(&self, context: &StepContext) -> Option<Millicores> {
+        let now_ms = context.clock.wall_ms;
+        let others = context.shared.demands.iter().filter(|(pool, _)| **pool != self.pool);
+        let records = others.filter_map(|(_, demand)| demand.record.turns.clone());
+        let mut forecasts = records.map(TurnForecast::from_record);
+        let shared_period = forecasts.find_map(|forecast| forecast.period());
+        let turn = self.demand.forecast.next_turn(now_ms, shared_period)?;
+        let begins_soon = turn.start_ms <= now_ms + VM_ARRIVAL_DELAY.0;
+        Some(Millicores(if begins_soon { turn.rate.0 } else { 0 }))
     }
 
     /// Returns the maximum number of unplaced tasks of one long-running job, since each of
@@ -158,40 +179,40 @@
         ready.max().unwrap_or(0) as u32
     }
 
-    /// Chooses a VM to drain if the pool has had a surplus for long enough. Withdraws all
-    /// offers if the pool requests VMs.
-    fn choose_vm_to_drain(
-        &mut self,
-        context: &StepContext,
-        requested_vms: u32,
-        retained_vms: usize,
-    ) {
+    /// Drains the surplus VMs if the pool has had a surplus for long enough. Withdraws all offers if
+    /// the pool requests VMs.
+    fn choose_vms_to_drain(&mut self, context: &StepContext, plan: &CapacityPlan) {
         let now = context.clock.now;
         let known: BTreeSet<VmId> =
             self.minions.values().filter_map(|minion| minion.report.vm.clone()).collect();
         self.demand.draining_vms.retain(|vm| known.contains(vm));
-        if requested_vms > 0 {
+        if plan.requested > 0 {
             self.demand.surplus_since = None;
             return self.withdraw_offers(now);
         }
-        let wave_vms: BTreeSet<VmId> =
-            incomplete_waves(context).into_iter().flat_map(|order| order.vms).collect();
-        // Until its first request a pool has only its own VMs and a baseline of 0, and offers
-        // no VM.
-        let baseline_vms = self.demand.written_demand.baseline as usize;
-        if baseline_vms == 0 || self.count_retained_vms() <= retained_vms.max(baseline_vms) {
+        let surplus = self.count_retained_vms().saturating_sub(plan.retained as usize);
+        if surplus == 0 {
             self.demand.surplus_since = None;
             return;
         }
         let surplus_start = *self.demand.surplus_since.get_or_insert(now);
-        if now - surplus_start >= SURPLUS_DURATION
-            && let Some(id) = self.least_loaded_minion(&wave_vms)
-            && let Some(minion) = self.minions.get_mut(&id)
-            && let Some(vm) = minion.report.vm.clone()
-        {
-            minion.is_being_drained = true;
-            self.demand.draining_vms.insert(vm);
+        if now - surplus_start < SURPLUS_DURATION {
+            return;
         }
+        let wave_vms = waiting_wave_vms(context);
+        for id in self.least_loaded_minions(&wave_vms, surplus) {
+            if let Some(minion) = self.minions.get_mut(&id)
+                && let Some(vm) = minion.report.vm.clone()
+            {
+                minion.is_being_drained = true;
+                self.demand.draining_vms.insert(vm);
+            }
+        }
+    }
+
+    /// Counts the VMs whose minions are listed, whether or not they are being drained.
+    fn count_listed_vms(&self) -> u32 {
+        self.minions.values().filter(|minion| minion.is_listed).count() as u32
     }
 
     /// Counts the VMs that are present and are not being drained.
@@ -202,9 +223,9 @@
         self.minions.values().filter(is_retained).count()
     }
 
-    /// Finds the minion with the least reserved processor time that runs no long-running
+    /// Finds up to `count` minions with the least reserved processor time that run no long-running
     /// task.
-    fn least_loaded_minion(&self, wave_vms: &BTreeSet<VmId>) -> Option<MinionId> {
+    fn least_loaded_minions(&self, wave_vms: &BTreeSet<VmId>, count: usize) -> Vec<MinionId> {
         let may_drain = |minion: &&OwnedMinion| {
             minion.is_listed
                 && minion.is_fenced
@@ -213,9 +234,9 @@
                 && minion.report.vm.as_ref().is_some_and(|vm| !wave_vms.contains(vm))
                 && minion.long_running_runs == 0
         };
-        let candidates = self.minions.values().filter(may_drain);
-        let least = candidates.min_by_key(|minion| minion.used.processor.0);
-        least.map(|minion| minion.report.minion.clone())
+        let mut candidates: Vec<&OwnedMinion> = self.minions.values().filter(may_drain).collect();
+        candidates.sort_by_key(|minion| minion.used.processor.0);
+        candidates.iter().take(count).map(|minion| minion.report.minion.clone()).collect()
     }
 
     /// Withdraws every offer. A VM that was offered gets no starts for
@@ -276,6 +297,17 @@
     }
 }
 
+/// Returns the VMs whose maintenance in an incomplete wave has not ended; they are not moved.
+fn waiting_wave_vms(context: &StepContext) -> BTreeSet<VmId> {
+    let mut waiting_vms = BTreeSet::new();
+    for order in incomplete_waves(context) {
+        let progress = wave_progress_of(context, order.wave);
+        let is_waiting = |vm: &VmId| progress.vms.get(vm) != Some(&VmMaintenance::Done);
+        waiting_vms.extend(order.vms.into_iter().filter(is_waiting));
+    }
+    waiting_vms
+}
+
 /// Returns the processor capacity of a VM, in millicores: the maximum over the reports of
 /// all pools' minions.
 fn typical_capacity(context: &StepContext) -> u64 {
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -85,6 +85,9 @@
 pub(crate) const MAX_VM_LIST_AGE: Millis = Millis(4_000);
 /// Duration after which the VM list certainly shows a moved VM.
 pub(crate) const MOVE_VISIBILITY_DELAY: Millis = Millis(4_000);
+/// Time from the order to move a VM until its pool can start tasks on it: the move, the minion's
+/// report, and the commit of the roster.
+pub(crate) const VM_ARRIVAL_DELAY: Millis = Millis(2_200);
 /// Duration for which an offered VM waits for a request from another pool.
 pub(crate) const OFFERED_VM_RETENTION: Millis = Millis(600);
 /// Minimum interval between two changes of a pool's requested and offered VMs.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,12 +7,14 @@
 mod admission;
 mod capacity;
 mod data_wait;
-pub mod forecast;
+mod forecast;
 mod overload;
 mod run_times;
 mod shares;
 mod vm_health;
 
+pub use capacity::{CapacityPlan, PoolLoad, plan_capacity};
+pub use forecast::{ExpectedTurn, TurnForecast, TurnRecord};
 pub use overload::{JobClass, JobLoad, PoolCapacity, StepLoad, select_jobs};
 pub use run_times::{QueueCorrection, RunTimeRecord, RunTimeTable, ShapeKey};
 pub use shares::{TeamShares, TeamUse};
--- a/crates/policy/tests/forecast.rs
+++ b/crates/policy/tests/forecast.rs
@@ -3,7 +3,7 @@
 
 use std::fmt::Write as _;
 
-use policy::forecast::{TurnForecast, TurnRecord};
+use policy::{TurnForecast, TurnRecord};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
