Job and settings texts: bounded nesting, positions, no overflow

Cause: the JSON parser recurses into each object and list without a bound. A job body of 100,000 opening brackets ended the test process with a stack overflow; in a daemon the body is parsed before the key is checked, so any client of the queue interface could end the process. Sums of declared times overflowed as well, which panics in builds with overflow checks.

Change: parse_value refuses texts nested more than 127 deep (the bound of serde_json), found with the parser's own scanner so that strings and comments do not count. Jobs are parsed through parse_value too, and parse_job_file returns the faults with line and column (serde_path_to_error gives the path of a value of the wrong type). Faults of settings and lists have a column. Repeated fields are found in linear time. Critical path, due time and work of a job saturate.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -18,7 +18,7 @@
 mod task;
 
 pub use outcome::{JobOutcome, JobPhase};
-pub use parse::{ParseJobError, parse_job};
+pub use parse::{ParseJobError, parse_job, parse_job_file};
 pub use progress::{JobProgress, TaskMark};
 pub use resources::Resources;
 pub use spec::{AcceptedJob, JobGraphError, JobSpec, QueueTerms, StepSpec, Timetable};
--- a/crates/jobs/src/parse.rs
+++ b/crates/jobs/src/parse.rs
@@ -5,6 +5,8 @@
 
 use std::fmt;
 
+use state::{ParsedValue, PathStep, Position, SettingFault, parse_value};
+
 use crate::{JobGraphError, JobSpec};
 
 /// Error that describes why a text is not a valid job.
@@ -32,6 +34,31 @@
 
 impl std::error::Error for ParseJobError {}
 
+/// Error of a text that is not a valid job, with the faults and their positions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct LocatedError {
+    error: ParseJobError,
+    faults: Vec<SettingFault>,
+}
+
+impl LocatedError {
+    /// Builds an error of one fault.
+    fn at(position: Position, error: ParseJobError) -> Self {
+        let faults = vec![SettingFault::new(position, error.to_string())];
+        Self { error, faults }
+    }
+
+    fn unknown_fields(value: &ParsedValue, paths: &[Vec<PathStep>], names: Vec<Box<str>>) -> Self {
+        let describe = |name: &str| ParseJobError::UnknownFields(vec![name.into()]).to_string();
+        let faults = paths
+            .iter()
+            .zip(&names)
+            .map(|(path, name)| SettingFault::new(value.locate(path), describe(name)))
+            .collect();
+        Self { error: ParseJobError::UnknownFields(names), faults }
+    }
+}
+
 /// Parses a job from JSON with comments and checks its graph.
 ///
 /// # Errors
@@ -39,17 +66,90 @@
 /// Checks the format first, then unknown fields, then the graph, and returns the
 /// [`ParseJobError`] of the first check that fails.
 pub fn parse_job(text: &str) -> Result<JobSpec, ParseJobError> {
-    let invalid_format = |reason: String| ParseJobError::InvalidFormat(reason.into());
-    let value = jsonc_parser::parse_to_serde_value(text, &Default::default())
-        .map_err(|error| invalid_format(error.to_string()))?
-        .ok_or_else(|| invalid_format("the text is empty".into()))?;
-    let mut unknown_fields: Vec<Box<str>> = Vec::new();
-    let spec: JobSpec =
-        serde_ignored::deserialize(value, |path| unknown_fields.push(path.to_string().into()))
-            .map_err(|error| invalid_format(error.to_string()))?;
-    if !unknown_fields.is_empty() {
-        return Err(ParseJobError::UnknownFields(unknown_fields));
+    read_job(text).map_err(|located| located.error)
+}
+
+/// Parses a job like [`parse_job`], and locates the faults of an invalid text.
+///
+/// # Errors
+///
+/// Returns the faults of the first check that fails, each with its position.
+pub fn parse_job_file(text: &str) -> Result<JobSpec, Vec<SettingFault>> {
+    read_job(text).map_err(|located| located.faults)
+}
+
+fn read_job(text: &str) -> Result<JobSpec, LocatedError> {
+    let value = read_value(text)?;
+    let mut unknown_paths = Vec::new();
+    let mut unknown_names = Vec::new();
+    let mut track = serde_path_to_error::Track::new();
+    let json = value.to_json();
+    let deserializer = serde_path_to_error::Deserializer::new(&json, &mut track);
+    let spec: Result<JobSpec, _> = serde_ignored::deserialize(deserializer, |path| {
+        unknown_paths.push(steps_of_ignored(&path));
+        unknown_names.push(path.to_string().into());
+    });
+    let spec = spec.map_err(|error| {
+        let position = value.locate(&steps_of_error(&track.path()));
+        LocatedError::at(position, ParseJobError::InvalidFormat(error.to_string().into()))
+    })?;
+    if !unknown_names.is_empty() {
+        return Err(LocatedError::unknown_fields(&value, &unknown_paths, unknown_names));
     }
-    spec.check().map_err(ParseJobError::InvalidGraph)?;
+    spec.check().map_err(|error| {
+        let position = value.locate(&steps_of_graph_error(&error));
+        LocatedError::at(position, ParseJobError::InvalidGraph(error))
+    })?;
     Ok(spec)
 }
+
+fn read_value(text: &str) -> Result<ParsedValue, LocatedError> {
+    if text.trim().is_empty() {
+        let error = ParseJobError::InvalidFormat("the text is empty".into());
+        return Err(LocatedError::at(Position::START, error));
+    }
+    parse_value(text).map_err(|fault| {
+        let reason = format!("{} on line {} column {}", fault.message, fault.line, fault.column);
+        LocatedError { error: ParseJobError::InvalidFormat(reason.into()), faults: vec![fault] }
+    })
+}
+
+/// Converts the path of a field that no type reads.
+fn steps_of_ignored(path: &serde_ignored::Path<'_>) -> Vec<PathStep> {
+    use serde_ignored::Path;
+    let (parent, step) = match path {
+        Path::Root => return Vec::new(),
+        Path::Seq { parent, index } => (parent, Some(PathStep::Item(*index))),
+        Path::Map { parent, key } => (parent, Some(PathStep::Field(key.as_str().into()))),
+        Path::Some { parent }
+        | Path::NewtypeStruct { parent }
+        | Path::NewtypeVariant { parent } => (parent, None),
+    };
+    let mut steps = steps_of_ignored(parent);
+    steps.extend(step);
+    steps
+}
+
+/// Converts the path of the value that a type refused.
+fn steps_of_error(path: &serde_path_to_error::Path) -> Vec<PathStep> {
+    use serde_path_to_error::Segment;
+    let to_step = |segment: &Segment| match segment {
+        Segment::Seq { index } => Some(PathStep::Item(*index)),
+        Segment::Map { key } => Some(PathStep::Field(key.as_str().into())),
+        Segment::Enum { .. } | Segment::Unknown => None,
+    };
+    path.iter().filter_map(to_step).collect()
+}
+
+fn steps_of_graph_error(error: &JobGraphError) -> Vec<PathStep> {
+    let steps = PathStep::Field("steps".into());
+    match error {
+        JobGraphError::StepCount(_) | JobGraphError::TaskTotal(_) => vec![steps],
+        JobGraphError::TaskCount { step, .. } => {
+            vec![steps, PathStep::Item(*step), PathStep::Field("tasks".into())]
+        }
+        JobGraphError::DependencyNotEarlier { step, .. } => {
+            vec![steps, PathStep::Item(*step), PathStep::Field("after".into())]
+        }
+    }
+}
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -193,7 +193,8 @@
     /// occurrence is due at once.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
         self.timetable.map_or(0, |timetable| {
-            timetable.first_due_ms + u64::from(occurrence) * timetable.interval.0
+            let offset = u64::from(occurrence).saturating_mul(timetable.interval.0);
+            timetable.first_due_ms.saturating_add(offset)
         })
     }
 
@@ -204,7 +205,7 @@
             let dependency_ends =
                 step.after.iter().filter_map(|after| ends.get(usize::from(*after)));
             let start = dependency_ends.copied().max().unwrap_or(0);
-            ends.push(start + step.estimate.0);
+            ends.push(start.saturating_add(step.estimate.0));
         }
         Millis(ends.into_iter().max().unwrap_or(0))
     }
@@ -218,7 +219,7 @@
                 step.after.iter().filter_map(|after| ends.get(usize::from(*after)));
             let start = dependency_ends.copied().max().unwrap_or(0);
             let is_done = progress.is_step_done(self, occurrence, index as u16);
-            ends.push(if is_done { 0 } else { start + step.estimate.0 });
+            ends.push(if is_done { 0 } else { start.saturating_add(step.estimate.0) });
         }
         Millis(ends.into_iter().max().unwrap_or(0))
     }
@@ -226,9 +227,11 @@
     /// Returns the estimated processor time of one occurrence, in millicores times milliseconds.
     pub fn estimated_work(&self) -> u64 {
         let step_work = |step: &StepSpec| {
-            u64::from(step.tasks) * step.demand.processor.0 * step.estimate.0.max(1)
+            u64::from(step.tasks)
+                .saturating_mul(step.demand.processor.0)
+                .saturating_mul(step.estimate.0.max(1))
         };
-        self.steps.iter().map(step_work).sum()
+        self.steps.iter().map(step_work).fold(0, u64::saturating_add)
     }
 
     /// Returns whether the job has a long-running step and so ends only when it is cancelled.
--- a/crates/state/src/fault.rs
+++ b/crates/state/src/fault.rs
@@ -1,15 +1,13 @@
-//! Reader for settings files in JSON with comments.
+//! Reader for the fields of a parsed settings file or list.
 //!
-//! [`parse_value`] parses the text and records the line of each value. [`ObjectReader`] then reads
-//! the fields of an object and collects all faults, each with its line, instead of stopping at the
-//! first one.
+//! [`ObjectReader`] reads the fields of an object that [`crate::parse_value`] has parsed and
+//! collects all faults, each with its position, instead of stopping at the first one.
 
 use std::fmt;
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 
-use jsonc_parser::ast;
-use jsonc_parser::common::Ranged;
+use crate::parsed::{Field, ParsedValue, Position, ValueKind, repeated_fields};
 
 /// Minimum Jaro-Winkler similarity (0 to 1) at which a known field name is suggested for an unknown
 /// one.
@@ -22,115 +20,34 @@
     pub line: u32,
     /// Description of the fault and of the expected value.
     pub message: Box<str>,
+    /// Column number in characters, counted from 1. Faults of a line are ordered by their messages
+    /// first.
+    pub column: u32,
 }
 
-impl fmt::Display for SettingFault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "line {}: {}", self.line, self.message)
+impl SettingFault {
+    /// Builds the fault that `message` describes.
+    pub fn new(position: Position, message: impl Into<Box<str>>) -> Self {
+        Self { line: position.line, message: message.into(), column: position.column }
     }
-}
 
-/// Parsed JSON value with the line on which the value starts.
-#[derive(Debug, Clone)]
-pub struct ParsedValue {
-    line: u32,
-    kind: ValueKind,
-}
-
-#[derive(Debug, Clone)]
-enum ValueKind {
-    Object(Vec<Field>),
-    Array(Vec<ParsedValue>),
-    String(Box<str>),
-    Number(Box<str>),
-    Bool(bool),
-    Null,
-}
-
-#[derive(Debug, Clone)]
-struct Field {
-    name: Box<str>,
-    line: u32,
-    value: ParsedValue,
-}
-
-impl ValueKind {
-    fn describe(&self) -> &'static str {
-        match self {
-            Self::Object(_) => "an object",
-            Self::Array(_) => "a list",
-            Self::String(_) => "a string",
-            Self::Number(_) => "a number",
-            Self::Bool(_) => "true or false",
-            Self::Null => "null",
-        }
+    /// Returns the position of the fault.
+    pub fn position(&self) -> Position {
+        Position { line: self.line, column: self.column }
     }
 }
 
-/// Parses JSON with comments.
-///
-/// # Errors
-///
-/// Returns the first syntax fault, or a fault if the text contains no value.
-pub fn parse_value(text: &str) -> Result<ParsedValue, SettingFault> {
-    let line_index = LineIndex::new(text);
-    let parsed = jsonc_parser::parse_to_ast(text, &Default::default(), &Default::default());
-    let parsed = parsed.map_err(|error| SettingFault {
-        line: line_index.line_at(error.range().start),
-        message: error.kind().to_string().into(),
-    })?;
-    let missing_value =
-        || SettingFault { line: 1, message: "the file contains no JSON value".into() };
-    let value = parsed.value.ok_or_else(missing_value)?;
-    Ok(convert_value(&value, &line_index))
-}
-
-/// Byte offsets of the line breaks of a text, in ascending order.
-struct LineIndex {
-    line_breaks: Vec<usize>,
-}
-
-impl LineIndex {
-    fn new(text: &str) -> Self {
-        let line_breaks = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
-        Self { line_breaks: line_breaks.map(|(index, _)| index).collect() }
-    }
-
-    /// Returns the number of the line that contains the byte at `offset`, counted from 1.
-    fn line_at(&self, offset: usize) -> u32 {
-        self.line_breaks.partition_point(|line_break| *line_break < offset) as u32 + 1
+impl fmt::Display for SettingFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: {}", self.line, self.message)
     }
 }
 
-fn convert_value(value: &ast::Value<'_>, line_index: &LineIndex) -> ParsedValue {
-    let line = line_index.line_at(value.range().start);
-    let kind = match value {
-        ast::Value::Object(object) => ValueKind::Object(convert_fields(object, line_index)),
-        ast::Value::Array(list) => ValueKind::Array(
-            list.elements.iter().map(|item| convert_value(item, line_index)).collect(),
-        ),
-        ast::Value::StringLit(text) => ValueKind::String(text.value.as_ref().into()),
-        ast::Value::NumberLit(number) => ValueKind::Number(number.value.into()),
-        ast::Value::BooleanLit(boolean) => ValueKind::Bool(boolean.value),
-        ast::Value::NullKeyword(_) => ValueKind::Null,
-    };
-    ParsedValue { line, kind }
-}
-
-fn convert_fields(object: &ast::Object<'_>, line_index: &LineIndex) -> Vec<Field> {
-    let convert_field = |property: &ast::ObjectProp<'_>| Field {
-        name: property.name.as_str().into(),
-        line: line_index.line_at(property.name.range().start),
-        value: convert_value(&property.value, line_index),
-    };
-    object.properties.iter().map(convert_field).collect()
-}
-
 /// Reader for the fields of one object; collects each fault and continues after it.
 pub struct ObjectReader<'a> {
     /// Description of the object that messages use, such as `teams "oss"`.
     path: Box<str>,
-    line: u32,
+    position: Position,
     fields: &'a [Field],
     /// Names of all fields that were requested so far.
     known_names: Vec<&'static str>,
@@ -144,27 +61,26 @@
         let fields = match &value.kind {
             ValueKind::Object(fields) => fields.as_slice(),
             other => {
-                let message = format!("{path} must be an object, not {}", other.describe()).into();
-                faults.push(SettingFault { line: value.line, message });
+                let message = format!("{path} must be an object, not {}", other.describe());
+                faults.push(SettingFault::new(value.position, message));
                 &[]
             }
         };
+        let position = value.position;
         let mut reader =
-            Self { path: path.into(), line: value.line, fields, known_names: Vec::new(), faults };
+            Self { path: path.into(), position, fields, known_names: Vec::new(), faults };
         reader.report_duplicate_fields();
         reader
     }
 
     fn report_duplicate_fields(&mut self) {
-        for (index, field) in self.fields.iter().enumerate() {
-            if self.fields[..index].iter().any(|earlier| earlier.name == field.name) {
-                self.report(field.line, format!("{:?} is set twice in {}", field.name, self.path));
-            }
+        for field in repeated_fields(self.fields) {
+            self.report(field.position, format!("{:?} is set twice in {}", field.name, self.path));
         }
     }
 
-    fn report(&mut self, line: u32, message: String) {
-        self.faults.push(SettingFault { line, message: message.into() });
+    fn report(&mut self, position: Position, message: String) {
+        self.faults.push(SettingFault::new(position, message));
     }
 
     /// Finds the field `name` and records the name as known.
@@ -176,14 +92,14 @@
     fn required_field(&mut self, name: &'static str) -> Option<&'a Field> {
         let field = self.find_field(name);
         if field.is_none() {
-            self.report(self.line, format!("{} is missing {name:?}", self.path));
+            self.report(self.position, format!("{} is missing {name:?}", self.path));
         }
         field
     }
 
     fn report_wrong_type(&mut self, field: &Field, expected: &str) {
         let found = field.value.kind.describe();
-        self.report(field.line, format!("{:?} must be {expected}, not {found}", field.name));
+        self.report(field.position, format!("{:?} must be {expected}, not {found}", field.name));
     }
 
     /// Reads a required string that parses as `T`.
@@ -215,7 +131,7 @@
         match text.parse() {
             Ok(value) => Some(value),
             Err(error) => {
-                self.report(field.line, format!("{:?}: {error}", field.name));
+                self.report(field.position, format!("{:?}: {error}", field.name));
                 None
             }
         }
@@ -254,7 +170,7 @@
                 "{:?} must be a whole number from {minimum} to {maximum}, not {text}",
                 field.name
             );
-            self.report(field.line, message);
+            self.report(field.position, message);
         }
         number
     }
@@ -292,13 +208,15 @@
         let ValueKind::String(text) = &item.kind else {
             let found = item.kind.describe();
             self.report(
-                item.line,
+                item.position,
                 format!("{:?} must be a list of strings; an item is {found}", field.name),
             );
             return None;
         };
         text.parse()
-            .map_err(|error| self.report(item.line, format!("{:?}: {text:?}: {error}", field.name)))
+            .map_err(|error| {
+                self.report(item.position, format!("{:?}: {text:?}: {error}", field.name))
+            })
             .ok()
     }
 
@@ -324,7 +242,7 @@
                     read_entry(key, &mut reader);
                     reader.report_unknown_fields();
                 }
-                Err(error) => self.report(entry.line, format!("{path}: {error}")),
+                Err(error) => self.report(entry.position, format!("{path}: {error}")),
             }
         }
     }
@@ -339,7 +257,7 @@
             let suggestion =
                 similar_name.map(|name| format!("; did you mean {name:?}?")).unwrap_or_default();
             self.report(
-                field.line,
+                field.position,
                 format!("{} has no setting {:?}{suggestion}", self.path, field.name),
             );
         }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -26,6 +26,7 @@
 mod key;
 mod lists;
 mod member;
+mod parsed;
 mod quantity;
 mod settings;
 mod team;
@@ -34,7 +35,7 @@
 pub use allocation::{AllocationTable, DaemonRef, SlotDoc};
 pub use claim::{ClaimDoc, ClaimRecord, ClaimState, StoredAnswer};
 pub use config::{ConfigDoc, ConfigEdit, PlanGrant, PoolPolicy, Preference, Priority, TeamPlan};
-pub use fault::{ObjectReader, ParsedValue, SettingFault, parse_value};
+pub use fault::{ObjectReader, SettingFault};
 pub use fleet::{FleetDoc, VmListing, VmPresence, VmRecord, VmRole, VmState};
 pub use id::{
     ChangeId, DaemonId, DataCentreId, IdError, IdempotencyKey, Incarnation, JobId, KeyId, MinionId,
@@ -43,6 +44,7 @@
 pub use key::{KeyError, KeyRecord, KeyText, OperatorKey};
 pub use lists::{parse_grants, parse_plans};
 pub use member::{MemberDoc, MemberRecord};
+pub use parsed::{ParsedValue, PathStep, Position, TextIndex, parse_value};
 pub use quantity::{
     AcceleratorCount, Cores, Mebibytes, Millicores, Millis, Moment, Revision, SlotCount,
 };
--- a/crates/state/tests/files.rs
+++ b/crates/state/tests/files.rs
@@ -79,3 +79,31 @@
     let text = include_str!("../../../examples/pollenfalld.jsonc");
     assert!(parse_daemon_settings(text).is_ok());
 }
+
+/// Guards against a text that ends the process: the parser recurses into each level of nesting.
+#[rstest]
+#[case::lists("[")]
+#[case::objects("{\"a\":")]
+fn deep_nesting_is_rejected(#[case] opening: &str) {
+    let messages = fault_messages(parse_daemon_settings(&opening.repeat(100_000)));
+    assert_eq!(messages, ["line 1: objects and lists are nested more than 127 deep"]);
+}
+
+/// Guards against a bound on nesting that counts brackets in strings and comments.
+#[test]
+fn brackets_in_strings_and_comments_are_not_nesting() {
+    let brackets = "[{".repeat(100);
+    let text = format!("{{ \"teams\": {{}} /* {brackets} */ }} // {brackets}");
+    assert!(parse_plans(&text).is_ok());
+    assert!(state::parse_value(&format!("{brackets:?}")).is_ok());
+}
+
+/// Guards against columns that count bytes, and against positions of another line.
+#[test]
+fn positions_count_lines_and_characters() {
+    let value = state::parse_value("{\n  \"é\": [1,\n   \"ü\", 3] }").expect("valid text");
+    let path = [state::PathStep::Field("é".into())];
+    assert_eq!(value.locate(&path).to_string(), "2:3");
+    let path = [path[0].clone(), state::PathStep::Item(2)];
+    assert_eq!(value.locate(&path).to_string(), "3:9");
+}
