Configuration check: pollenfall check FILE...

Cause: the lists, settings and jobs could be checked one by one, with lines and without columns; the platform's configuration and wave orders could not be checked at all before they were sent, and nothing compared files with each other, with a list of VMs or with the version in force.

Change: crate findings (types), crate check (checks of the product's files and of files together), platform::check (checks of op/config and op/wave/N with the platform's names, decoded by the types that daemons use), and the command. plans check, grants check, queue check and queue submit use the same code. verify::check_config is built on typed faults, so that a finding has the row's position. A key's text is never part of a finding.

--- /dev/null
+++ b/crates/check/tests/differences.rs
@@ -0,0 +1,144 @@
+//! Guards the differences from the version in force: told in the terms of operators, and without
+//! the text of any key.
+
+mod common;
+
+use check::{CheckInput, run_check};
+use common::{file, input, render};
+
+fn compare(name: &str, before: &str, after: &str) -> String {
+    let against = vec![file("in-force", before)];
+    render(&run_check(&CheckInput { against, ..input(&[(name, after)]) }))
+}
+
+const PLANS: &str = r#"{ "teams": {
+  "day": { "plan": "p", "share": 50, "limit": 24 },
+  "night": { "plan": "p", "share": 20, "limit": 8 },
+  "old": { "plan": "p", "share": 20, "limit": 8 }
+} }"#;
+
+const CHANGED_PLANS: &str = r#"{ "teams": {
+  "day": { "plan": "q", "share": 60, "limit": 24 },
+  "night": { "plan": "p", "share": 20, "limit": 6 },
+  "new": { "plan": "p", "share": 20, "limit": 8 }
+} }"#;
+
+const GRANTS: &str = r#"{
+  "plans": { "p": { "pools": ["a", "b"], "priority": "urgent" },
+             "q": { "pools": ["a"], "priority": "normal" } },
+  "pools": { "a": { "min_available": 1 }, "b": { "min_available": 1, "open": true } }
+}"#;
+
+const IN_FORCE: &str = r#"{ "revision": 12, "config": {
+  "teams": { "day": { "plan": "p", "share": 50, "limit": 24 },
+             "old": { "plan": "p", "share": 20, "limit": 8 } },
+  "plans": { "p": { "pools": ["a", "b"], "priority": "urgent" } },
+  "pools": { "a": { "open": false, "min_available": 1, "deadline": 10000 },
+             "b": { "open": true, "min_available": 1, "deadline": 10000 } },
+  "keys": { "k-day": { "team": "day", "salt": "s", "digest": "5ec2e7" },
+            "k-old": { "team": "old", "salt": "s", "digest": "5ec2e7" } },
+  "out_data_centres": [], "out_pools": [], "changes": []
+} }"#;
+
+#[test]
+fn plans_against_plans() {
+    insta::assert_snapshot!(compare("plans.jsonc", PLANS, CHANGED_PLANS));
+}
+
+#[test]
+fn grants_against_grants() {
+    let changed = GRANTS
+        .replace(r#"["a", "b"], "priority": "urgent""#, r#"["b"], "priority": "overnight""#)
+        .replace(r#""min_available": 1, "open": true"#, r#""min_available": 3, "deadline_ms": 500"#)
+        .replace(r#""q": { "pools": ["a"]"#, r#""r": { "pools": ["a"]"#)
+        .replace("\"pools\": { \"a\"", "\"preference\": \"work\", \"pools\": { \"a\"");
+    insta::assert_snapshot!(compare("grants.jsonc", GRANTS, &changed));
+}
+
+/// Guards against a key of a removed team that stays valid, which daemons refuse.
+#[test]
+fn plans_against_the_configuration_in_force() {
+    insta::assert_snapshot!(compare("plans.jsonc", IN_FORCE, CHANGED_PLANS));
+}
+
+#[test]
+fn configuration_against_configuration() {
+    let changed = IN_FORCE
+        .replace("k-day", "k-new")
+        .replace(r#""team": "old""#, r#""team": "day""#)
+        .replace(r#""out_pools": []"#, r#""out_pools": ["a"]"#);
+    let text = compare("config.json", IN_FORCE, &changed);
+    assert!(!text.contains("5ec2e7"), "a message has the digest of a key");
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn settings_against_settings() {
+    let settings = include_str!("../../../examples/pollenfalld.jsonc");
+    let changed = settings
+        .replace("127.0.0.1:7101", "127.0.0.1:7102")
+        .replace("0011223344556677", "0011223344556678")
+        .replace("4096", "2048");
+    insta::assert_snapshot!(compare("pollenfalld.jsonc", settings, &changed));
+}
+
+#[test]
+fn job_against_job() {
+    let job = include_str!("../../../examples/job.jsonc");
+    let changed = job
+        .replace("\"tasks\": 20", "\"tasks\": 30")
+        .replace("\"processor\": 500", "\"processor\": 250")
+        .replace("a4", "a3")
+        .replace("\"most_per_minion\": 2", "\"most_per_minion\": 3");
+    insta::assert_snapshot!(compare("job.jsonc", job, &changed));
+}
+
+const CONFIG: &str = r#"{ "Version": 7,
+  "Routes": [{ "Name": "r-cut", "Host": "h", "Prefix": "/cut/", "Service": "a", "Priority": 1 },
+             { "Name": "r-old", "Host": "h", "Prefix": "/old/", "Service": "b" }],
+  "Services": [{ "Name": "a" }, { "Name": "b" }],
+  "Tenants": [{ "Name": "day", "ApiKeys": ["k-secret-1", "k-secret-2"], "Maximum": { "Cpu": 8000 } },
+              { "Name": "night", "ApiKeys": ["k-secret-3"], "Weight": 2 }] }"#;
+
+#[test]
+fn platform_configuration_against_another() {
+    let changed = CONFIG
+        .replace("\"Version\": 7", "\"Version\": 8")
+        .replace("\"Service\": \"a\", \"Priority\": 1", "\"Service\": \"b\", \"Priority\": 0")
+        .replace("r-old", "r-new")
+        .replace(
+            "{ \"Name\": \"b\" }",
+            "{ \"Name\": \"b\", \"RejectsOverload\": true }, { \"Name\": \"s\", \"Spare\": true }",
+        )
+        .replace("\"k-secret-2\"", "\"k-secret-4\"")
+        .replace("\"Cpu\": 8000", "\"Cpu\": 0, \"MemMb\": 512")
+        .replace("\"Weight\": 2", "\"Weight\": 1.5, \"Public\": true");
+    let text = compare("config.json", CONFIG, &changed);
+    assert!(!text.contains("k-secret"), "a message has the text of a key");
+    insta::assert_snapshot!(text);
+}
+
+/// Guards against a change that daemons ignore, because its version is not a later one.
+#[test]
+fn version_that_is_not_later() {
+    let changed = CONFIG.replace("/cut/", "/cuts/");
+    insta::assert_snapshot!(compare("config.json", CONFIG, &changed));
+}
+
+#[test]
+fn wave_against_wave() {
+    let wave = r#"{ "Wave": 3, "Machines": ["m-1", "m-2"], "DurationS": 20, "Maximum": 1 }"#;
+    let changed = r#"{ "Wave": 3, "Machines": ["m-1", "m-3"], "DurationS": 10, "Maximum": 2 }"#;
+    insta::assert_snapshot!(compare("wave.json", wave, changed));
+}
+
+#[test]
+fn same_version_has_no_differences() {
+    assert_eq!(compare("config.json", CONFIG, CONFIG), "differences:");
+}
+
+#[test]
+fn version_in_force_that_cannot_be_compared() {
+    let another_kind = compare("config.json", PLANS, CONFIG);
+    insta::assert_snapshot!(format!("{another_kind}\n{}", compare("config.json", "{", CONFIG)));
+}
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
+use check::FileKind;
 use state::{DataCentreId, JobId, KeyId, PoolId, QueueId, TeamId, VmId};
 
 /// Operates a fleet through its daemons, and submits jobs.
@@ -25,6 +26,9 @@
 
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) enum Command {
+    /// Checks configuration files before they are sent, and lists every finding with its line.
+    #[bpaf(command("check"), footer(CHECK_EXAMPLES))]
+    Check(#[bpaf(external(check_arguments))] CheckArguments),
     /// Checks or applies the list of customers' plans.
     #[bpaf(command("plans"))]
     Plans(#[bpaf(external(list_action))] ListAction),
@@ -61,6 +65,35 @@
     Queue(#[bpaf(external(queue_action))] QueueAction),
 }
 
+/// Examples of `pollenfall check`, for its help text.
+const CHECK_EXAMPLES: &str = "Examples:
+  pollenfall check examples/brabant/plans.jsonc examples/brabant/grants.jsonc
+  pollenfall check config.json --against config-in-force.json --vms machines.json
+  pollenfall --daemon 10.1.0.23:7101 --json check plans.jsonc
+ With --daemon, lists are also compared with the configuration in force.
+ Exit codes: 0 no findings, 1 findings, 2 a file cannot be read, 4 no daemon answered.";
+
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct CheckArguments {
+    /// Kind of all files: plans, grants, config, settings, job, platform-config or wave. Without
+    /// this option the kind of each file is recognised by its content.
+    #[bpaf(long, argument("KIND"))]
+    pub(crate) kind: Option<FileKind>,
+    /// File with the version in force, from which the differences are shown; may be given more
+    /// than once. Each file is compared with the one of its kind.
+    #[bpaf(long, argument("FILE"))]
+    pub(crate) against: Vec<PathBuf>,
+    /// File with the list of VMs, with which labels, sizes and pools are compared.
+    #[bpaf(long, argument("FILE"))]
+    pub(crate) vms: Option<PathBuf>,
+    /// Time that one VM is down in a maintenance wave, in milliseconds; 1500 if it is not given.
+    #[bpaf(long, argument("MS"), fallback(1500))]
+    pub(crate) maintenance_ms: u64,
+    /// Files to check.
+    #[bpaf(positional("FILE"), some("name at least one file"))]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) enum QueueAction {
     /// Checks a job's file without submitting the job.
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -54,6 +54,11 @@
         Ok(Self { daemons: options.daemon.clone(), bearer, json: options.json })
     }
 
+    /// Returns whether the command line names a daemon.
+    pub(crate) fn has_daemon(&self) -> bool {
+        !self.daemons.is_empty()
+    }
+
     /// Sends one control request. Several daemons may receive the same body, so the body must let
     /// a daemon recognise a repeated request.
     pub(crate) fn send_control(
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,14 +2,15 @@
 //!
 //! Exit codes:
 //! - 0: done.
-//! - 1: refused; nothing changed or ran.
-//! - 2: wrong usage, or a fault in a file.
+//! - 1: refused; nothing changed or ran. Of `check`: a file has findings.
+//! - 2: wrong usage, or a fault in a file. Of `check`: a file cannot be read.
 //! - 3: not known to be done, or not yet in force.
 //! - 4: no daemon could be reached.
 
 mod arguments;
 mod client;
 mod diff;
+mod file_check;
 mod job;
 mod keys;
 mod operator;
@@ -19,6 +20,7 @@
 use std::process::ExitCode;
 
 use arguments::{Command, Options, options};
+use check::FileKind;
 use client::Client;
 
 /// Outcome of a command, which sets the exit code.
@@ -26,6 +28,7 @@
 pub(crate) enum CommandOutcome {
     Done,
     Refused,
+    Findings,
     Usage,
     Unknown,
     Unreachable,
@@ -35,7 +38,7 @@
     fn exit_code(self) -> u8 {
         match self {
             Self::Done => 0,
-            Self::Refused => 1,
+            Self::Refused | Self::Findings => 1,
             Self::Usage => 2,
             Self::Unknown => 3,
             Self::Unreachable => 4,
@@ -57,8 +60,9 @@
 fn run(options: &Options) -> eyre::Result<CommandOutcome> {
     let client = Client::new(options)?;
     match &options.command {
-        Command::Plans(action) => operator::apply_list(&client, action, state::parse_plans),
-        Command::Grants(action) => operator::apply_list(&client, action, state::parse_grants),
+        Command::Check(arguments) => file_check::run(&client, arguments),
+        Command::Plans(action) => operator::apply_list(&client, action, FileKind::Plans),
+        Command::Grants(action) => operator::apply_list(&client, action, FileKind::Grants),
         Command::Key(action) => keys::run(&client, action),
         Command::DataCentre(action) => operator::change_data_centre(&client, action),
         Command::Pool(action) => operator::change_pool(&client, action),
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -2,25 +2,24 @@
 
 use std::path::Path;
 
-use eyre::{Context, Result, eyre};
+use check::FileKind;
+use eyre::{Result, eyre};
 use protocol::ChangeBody;
 use serde_json::{Value, json};
-use state::{ChangeId, ConfigDoc, ConfigEdit, SettingFault, verify};
+use state::{ChangeId, ConfigDoc, ConfigEdit, parse_grants, parse_plans, verify};
 
 use crate::arguments::{DataCentreAction, ListAction, PoolAction, VmCommand};
 use crate::client::{Client, generate_change_id};
-use crate::{CommandOutcome, diff, render};
-
-type ListParser = fn(&str) -> Result<ConfigEdit, Vec<SettingFault>>;
+use crate::{CommandOutcome, diff, file_check, render};
 
 /// Checks or applies the list of plans or the list of grants.
 pub(crate) fn apply_list(
     client: &Client,
     action: &ListAction,
-    parse: ListParser,
+    kind: FileKind,
 ) -> Result<CommandOutcome> {
     let (ListAction::Check { file } | ListAction::Apply { file, .. }) = action;
-    let Some(edit) = read_list(file, parse)? else { return Ok(CommandOutcome::Usage) };
+    let Some(edit) = read_list(file, kind)? else { return Ok(CommandOutcome::Usage) };
     match action {
         ListAction::Check { .. } => {
             println!("{}: no faults", file.display());
@@ -34,22 +33,14 @@
     }
 }
 
-/// Reads a list from a file; prints the faults and returns `None` if there are any.
-fn read_list(file: &Path, parse: ListParser) -> Result<Option<ConfigEdit>> {
-    let text = std::fs::read_to_string(file).wrap_err_with(|| file.display().to_string())?;
-    match parse(&text) {
-        Ok(edit) => Ok(Some(edit)),
-        Err(faults) => {
-            eprintln!("{} has {} faults:", file.display(), faults.len());
-            for fault in faults {
-                eprintln!("  {fault}");
-            }
-            Ok(None)
-        }
-    }
+/// Reads a list from a file; prints the findings, and returns `None` if there are errors.
+fn read_list(file: &Path, kind: FileKind) -> Result<Option<ConfigEdit>> {
+    let Some(text) = file_check::read_checked(file, kind)? else { return Ok(None) };
+    let parse = if kind == FileKind::Plans { parse_plans } else { parse_grants };
+    Ok(parse(&text).ok())
 }
 
-fn fetch_config(client: &Client) -> Result<ConfigDoc> {
+pub(crate) fn fetch_config(client: &Client) -> Result<ConfigDoc> {
     let reply = client.send_control("GET", "config", &Value::Null)?;
     if reply.status != 200 {
         return Err(eyre!("{}", render::failure(&reply.body).trim_end()));
--- a/crates/cli/src/queue.rs
+++ b/crates/cli/src/queue.rs
@@ -4,13 +4,14 @@
 use std::thread;
 use std::time::Duration;
 
-use eyre::{Context, Result, eyre};
+use check::FileKind;
+use eyre::Result;
 use serde_json::Value;
 use state::{JobId, QueueId};
 
 use crate::arguments::QueueAction;
 use crate::client::Client;
-use crate::{CommandOutcome, render};
+use crate::{CommandOutcome, file_check, render};
 
 /// How often a watched job's phase is read.
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
@@ -19,7 +20,9 @@
     match action {
         QueueAction::Check { file } => check_job(file),
         QueueAction::Submit { queue, job, file } => {
-            let text = read_checked_job(file)?;
+            let Some(text) = file_check::read_checked(file, FileKind::Job)? else {
+                return Ok(CommandOutcome::Usage);
+            };
             send_and_print(client, "PUT", &queue_path(queue, Some(job)), text.as_bytes())
         }
         QueueAction::Show { queue, job } => {
@@ -39,16 +42,10 @@
     }
 }
 
-/// Reads a job's file and checks its contents before the job goes to a daemon.
-fn read_checked_job(file: &Path) -> Result<String> {
-    let file_name = file.display();
-    let text = std::fs::read_to_string(file).wrap_err_with(|| file_name.to_string())?;
-    jobs::parse_job(&text).map_err(|fault| eyre!("{file_name}: {fault}"))?;
-    Ok(text)
-}
-
 fn check_job(file: &Path) -> Result<CommandOutcome> {
-    read_checked_job(file)?;
+    if file_check::read_checked(file, FileKind::Job)?.is_none() {
+        return Ok(CommandOutcome::Usage);
+    }
     println!("{}: no faults", file.display());
     Ok(CommandOutcome::Done)
 }
--- /dev/null
+++ b/crates/cli/tests/check.rs
@@ -0,0 +1,91 @@
+//! Runs `pollenfall check` as a process and checks its output and exit codes.
+//!
+//! Guards against findings that a script does not notice, because the exit code says that there are
+//! none, and against commands that judge one file differently.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use rstest::rstest;
+
+/// Directory for the files of one test, removed at its end.
+struct TestFolder(PathBuf);
+
+impl TestFolder {
+    fn new(name: &str) -> Self {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("check-{name}"));
+        std::fs::create_dir_all(&path).expect("the folder is created");
+        Self(path)
+    }
+
+    fn write(&self, name: &str, bytes: impl AsRef<[u8]>) {
+        std::fs::write(self.0.join(name), bytes).expect("the file is written");
+    }
+
+    fn run(&self, arguments: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_pollenfall"));
+        command.args(arguments).current_dir(&self.0);
+        command.output().expect("the pollenfall program starts")
+    }
+}
+
+impl Drop for TestFolder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn render(output: &Output) -> String {
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    format!(
+        "exit code {:?}\n--- output\n{}--- errors\n{}",
+        output.status.code(),
+        text(&output.stdout),
+        text(&output.stderr)
+    )
+}
+
+const GOOD_PLANS: &str = r#"{ "teams": { "a": { "plan": "p", "share": 1, "limit": 8 } } }"#;
+const BAD_PLANS: &str = r#"{ "teams": { "a": { "plam": "p", "share": 1, "limit": 0 } } }"#;
+const WARNED_PLANS: &str = r#"{ "teams": { "a": { "plan": "p", "share": 1, "limit": 0 } } }"#;
+const BAD_JOB: &str = r#"{ "payload": "", "steps": [{ "tasks": 0 }] }"#;
+
+#[rstest]
+#[case::no_findings("no_findings", &["check", "good.jsonc"])]
+#[case::findings("findings", &["check", "good.jsonc", "bad.jsonc", "warned.jsonc", "job.jsonc"])]
+#[case::warning("warning", &["check", "warned.jsonc"])]
+#[case::unreadable("unreadable", &["check", "none.jsonc", "bad.jsonc"])]
+#[case::folder("folder", &["check", "."])]
+#[case::binary("binary", &["check", "binary"])]
+#[case::differences("differences", &["check", "warned.jsonc", "--against", "good.jsonc"])]
+#[case::no_differences("no_differences", &["check", "good.jsonc", "--against", "good.jsonc"])]
+#[case::json("json", &["--json", "check", "warned.jsonc", "none.jsonc", "--against", "good.jsonc"])]
+#[case::kind("kind", &["check", "--kind", "job", "good.jsonc"])]
+#[case::unknown_kind("unknown_kind", &["check", "--kind", "plan", "good.jsonc"])]
+#[case::no_file("no_file", &["check"])]
+#[case::help("help", &["check", "--help"])]
+#[case::plans("plans", &["plans", "check", "bad.jsonc"])]
+#[case::plans_warned("plans_warned", &["plans", "check", "warned.jsonc"])]
+#[case::grants("grants", &["grants", "check", "bad.jsonc"])]
+#[case::queue("queue", &["queue", "check", "job.jsonc"])]
+fn output_and_exit_code(#[case] name: &str, #[case] arguments: &[&str]) {
+    let folder = TestFolder::new(name);
+    folder.write("good.jsonc", GOOD_PLANS);
+    folder.write("bad.jsonc", BAD_PLANS);
+    folder.write("warned.jsonc", WARNED_PLANS);
+    folder.write("job.jsonc", BAD_JOB);
+    folder.write("binary", [0xff, 0, 1]);
+    insta::assert_snapshot!(format!("check_{name}"), render(&folder.run(arguments)));
+}
+
+/// A daemon that is named and does not answer leaves the comparison open, which must not look like
+/// a check without findings.
+#[test]
+fn daemon_that_does_not_answer() {
+    let folder = TestFolder::new("no_daemon");
+    folder.write("good.jsonc", GOOD_PLANS);
+    // Nothing listens on port 1 of the loopback address.
+    let output = folder.run(&["--daemon", "127.0.0.1:1", "check", "good.jsonc"]);
+    assert_eq!(output.status.code(), Some(4));
+    assert!(!output.stderr.is_empty());
+}
--- a/crates/jobs/src/parse.rs
+++ b/crates/jobs/src/parse.rs
@@ -5,10 +5,17 @@
 
 use std::fmt;
 
-use state::{ParsedValue, PathStep, Position, SettingFault, parse_value};
+use state::{
+    LocatedDecode, ParsedValue, PathStep, Position, SettingFault, UnknownField, decode_located,
+    describe_path, parse_value,
+};
 
 use crate::{JobGraphError, JobSpec};
 
+/// Maximum number of unknown fields that are reported one by one, since each is searched for in the
+/// text.
+const MAX_LOCATED_FIELDS: usize = 100;
+
 /// Error that describes why a text is not a valid job.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ParseJobError {
@@ -48,13 +55,19 @@
         Self { error, faults }
     }
 
-    fn unknown_fields(value: &ParsedValue, paths: &[Vec<PathStep>], names: Vec<Box<str>>) -> Self {
+    /// Builds the error of a text that is not JSON with comments.
+    fn invalid_syntax(fault: SettingFault) -> Self {
+        let reason = format!("{} on line {} column {}", fault.message, fault.line, fault.column);
+        Self { error: ParseJobError::InvalidFormat(reason.into()), faults: vec![fault] }
+    }
+
+    fn unknown_fields(value: &ParsedValue, fields: Vec<UnknownField>) -> Self {
         let describe = |name: &str| ParseJobError::UnknownFields(vec![name.into()]).to_string();
-        let faults = paths
-            .iter()
-            .zip(&names)
-            .map(|(path, name)| SettingFault::new(value.locate(path), describe(name)))
-            .collect();
+        let to_fault = |field: &UnknownField| {
+            SettingFault::new(value.locate(&field.path), describe(&field.name))
+        };
+        let faults = fields.iter().take(MAX_LOCATED_FIELDS).map(to_fault).collect();
+        let names = fields.into_iter().map(|field| field.name).collect();
         Self { error: ParseJobError::UnknownFields(names), faults }
     }
 }
@@ -80,21 +93,21 @@
 
 fn read_job(text: &str) -> Result<JobSpec, LocatedError> {
     let value = read_value(text)?;
-    let mut unknown_paths = Vec::new();
-    let mut unknown_names = Vec::new();
-    let mut track = serde_path_to_error::Track::new();
-    let json = value.to_json();
-    let deserializer = serde_path_to_error::Deserializer::new(&json, &mut track);
-    let spec: Result<JobSpec, _> = serde_ignored::deserialize(deserializer, |path| {
-        unknown_paths.push(steps_of_ignored(&path));
-        unknown_names.push(path.to_string().into());
-    });
-    let spec = spec.map_err(|error| {
-        let position = value.locate(&steps_of_error(&track.path()));
-        LocatedError::at(position, ParseJobError::InvalidFormat(error.to_string().into()))
+    let json = value.to_json().map_err(LocatedError::invalid_syntax)?;
+    let decoded: LocatedDecode<JobSpec, _> = decode_located(&json);
+    let spec = decoded.result.map_err(|error| {
+        let path = &decoded.error_path;
+        let message = match path.as_slice() {
+            [] => error.to_string(),
+            path => format!("{}: {error}", describe_path(path)),
+        };
+        LocatedError {
+            error: ParseJobError::InvalidFormat(error.to_string().into()),
+            faults: vec![SettingFault::new(value.locate(path), message)],
+        }
     })?;
-    if !unknown_names.is_empty() {
-        return Err(LocatedError::unknown_fields(&value, &unknown_paths, unknown_names));
+    if !decoded.unknown_fields.is_empty() {
+        return Err(LocatedError::unknown_fields(&value, decoded.unknown_fields));
     }
     spec.check().map_err(|error| {
         let position = value.locate(&steps_of_graph_error(&error));
@@ -108,37 +121,7 @@
         let error = ParseJobError::InvalidFormat("the text is empty".into());
         return Err(LocatedError::at(Position::START, error));
     }
-    parse_value(text).map_err(|fault| {
-        let reason = format!("{} on line {} column {}", fault.message, fault.line, fault.column);
-        LocatedError { error: ParseJobError::InvalidFormat(reason.into()), faults: vec![fault] }
-    })
-}
-
-/// Converts the path of a field that no type reads.
-fn steps_of_ignored(path: &serde_ignored::Path<'_>) -> Vec<PathStep> {
-    use serde_ignored::Path;
-    let (parent, step) = match path {
-        Path::Root => return Vec::new(),
-        Path::Seq { parent, index } => (parent, Some(PathStep::Item(*index))),
-        Path::Map { parent, key } => (parent, Some(PathStep::Field(key.as_str().into()))),
-        Path::Some { parent }
-        | Path::NewtypeStruct { parent }
-        | Path::NewtypeVariant { parent } => (parent, None),
-    };
-    let mut steps = steps_of_ignored(parent);
-    steps.extend(step);
-    steps
-}
-
-/// Converts the path of the value that a type refused.
-fn steps_of_error(path: &serde_path_to_error::Path) -> Vec<PathStep> {
-    use serde_path_to_error::Segment;
-    let to_step = |segment: &Segment| match segment {
-        Segment::Seq { index } => Some(PathStep::Item(*index)),
-        Segment::Map { key } => Some(PathStep::Field(key.as_str().into())),
-        Segment::Enum { .. } | Segment::Unknown => None,
-    };
-    path.iter().filter_map(to_step).collect()
+    parse_value(text).map_err(LocatedError::invalid_syntax)
 }
 
 fn steps_of_graph_error(error: &JobGraphError) -> Vec<PathStep> {
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -163,7 +163,8 @@
         self.changes.contains(change)
     }
 
-    fn apply_edit(&mut self, edit: &ConfigEdit) {
+    /// Applies one edit without recording a change.
+    pub fn apply_edit(&mut self, edit: &ConfigEdit) {
         match edit {
             ConfigEdit::Teams { teams } => self.teams = teams.clone(),
             ConfigEdit::Grants { plans, pools, preference } => {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -20,6 +20,7 @@
 mod allocation;
 mod claim;
 mod config;
+mod decode;
 mod fault;
 mod fleet;
 mod id;
@@ -35,6 +36,7 @@
 pub use allocation::{AllocationTable, DaemonRef, SlotDoc};
 pub use claim::{ClaimDoc, ClaimRecord, ClaimState, StoredAnswer};
 pub use config::{ConfigDoc, ConfigEdit, PlanGrant, PoolPolicy, Preference, Priority, TeamPlan};
+pub use decode::{LocatedDecode, UnknownField, decode_located};
 pub use fault::{ObjectReader, SettingFault};
 pub use fleet::{FleetDoc, VmListing, VmPresence, VmRecord, VmRole, VmState};
 pub use id::{
@@ -44,7 +46,7 @@
 pub use key::{KeyError, KeyRecord, KeyText, OperatorKey};
 pub use lists::{parse_grants, parse_plans};
 pub use member::{MemberDoc, MemberRecord};
-pub use parsed::{ParsedValue, PathStep, Position, TextIndex, parse_value};
+pub use parsed::{ParsedValue, PathStep, Position, TextIndex, describe_path, parse_value};
 pub use quantity::{
     AcceleratorCount, Cores, Mebibytes, Millicores, Millis, Moment, Revision, SlotCount,
 };
--- a/crates/state/src/parsed.rs
+++ b/crates/state/src/parsed.rs
@@ -207,11 +207,12 @@
         fields.iter().find(|field| &*field.name == name).map(|field| &field.value)
     }
 
-    /// Returns the names of an object's fields, or nothing for another value.
-    pub fn field_names(&self) -> impl Iterator<Item = &str> {
+    /// Returns the name, the name's position and the value of each field of an object, or nothing
+    /// for another value.
+    pub fn entries(&self) -> impl Iterator<Item = (&str, Position, &ParsedValue)> {
         let fields =
             if let ValueKind::Object(fields) = &self.kind { fields.as_slice() } else { &[] };
-        fields.iter().map(|field| &*field.name)
+        fields.iter().map(|field| (&*field.name, field.position, &field.value))
     }
 
     /// Returns the items of a list, or nothing for another value.
@@ -246,6 +247,13 @@
         position
     }
 
+    /// Returns the position of the field at the end of a path of names, as [`Self::locate`] does.
+    pub fn locate_field(&self, names: &[&str]) -> Position {
+        let steps: Vec<PathStep> =
+            names.iter().map(|name| PathStep::Field((*name).into())).collect();
+        self.locate(&steps)
+    }
+
     /// Returns one fault for each field whose name an earlier field of its object has. A reader
     /// that does not look for such fields uses one of them without notice.
     pub fn repeated_field_faults(&self) -> Vec<SettingFault> {
@@ -270,21 +278,46 @@
     }
 
     /// Converts the value to a JSON value without positions. Of fields with one name, the last is
-    /// kept. A number outside the range of a 64-bit floating-point number becomes a string.
-    pub fn to_json(&self) -> serde_json::Value {
-        match &self.kind {
+    /// kept.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault for a number outside the range of a 64-bit floating-point number.
+    pub fn to_json(&self) -> Result<serde_json::Value, SettingFault> {
+        Ok(match &self.kind {
             ValueKind::Object(fields) => {
-                let fields = fields.iter();
-                fields.map(|field| (field.name.to_string(), field.value.to_json())).collect()
+                let convert = |field: &Field| Ok((field.name.to_string(), field.value.to_json()?));
+                let fields: Result<serde_json::Map<_, _>, SettingFault> =
+                    fields.iter().map(convert).collect();
+                serde_json::Value::Object(fields?)
+            }
+            ValueKind::Array(items) => {
+                let items: Result<Vec<_>, SettingFault> = items.iter().map(Self::to_json).collect();
+                serde_json::Value::Array(items?)
             }
-            ValueKind::Array(items) => items.iter().map(Self::to_json).collect(),
             ValueKind::String(text) => serde_json::Value::String(text.to_string()),
-            ValueKind::Number(text) => match text.parse::<serde_json::Number>() {
-                Ok(number) => serde_json::Value::Number(number),
-                Err(_) => serde_json::Value::String(text.to_string()),
-            },
+            ValueKind::Number(text) => {
+                let out_of_range = |_| {
+                    let message = format!("the number {text} is out of range");
+                    SettingFault::new(self.position, message)
+                };
+                serde_json::Value::Number(text.parse().map_err(out_of_range)?)
+            }
             ValueKind::Bool(value) => serde_json::Value::Bool(*value),
             ValueKind::Null => serde_json::Value::Null,
+        })
+    }
+}
+
+/// Returns a path as text, such as `steps[1].tasks`.
+pub fn describe_path(path: &[PathStep]) -> String {
+    let mut text = String::new();
+    for step in path {
+        match step {
+            PathStep::Field(name) if text.is_empty() => text.push_str(name),
+            PathStep::Field(name) => text.extend([".", &**name]),
+            PathStep::Item(index) => text.push_str(&format!("[{index}]")),
         }
     }
+    text
 }
--- a/crates/state/src/verify.rs
+++ b/crates/state/src/verify.rs
@@ -10,7 +10,10 @@
 
 use std::fmt;
 
-use crate::{AllocationTable, ConfigDoc, FleetDoc, MemberDoc, SlotDoc, TeamDoc, VmState};
+use crate::{
+    AllocationTable, ConfigDoc, FleetDoc, KeyId, MemberDoc, PlanId, PoolId, SlotDoc, TeamDoc,
+    TeamId, VmState,
+};
 
 /// Violated invariant, described by a text that names the affected entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,41 +25,84 @@
     }
 }
 
+/// Violated invariant of the configuration, with the affected entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConfigFault {
+    /// The team has a plan that the second list does not have.
+    UnknownPlan {
+        /// Team with the plan.
+        team: TeamId,
+        /// Plan that is missing.
+        plan: PlanId,
+    },
+    /// The team has share 0.
+    NoShare {
+        /// Team without a share.
+        team: TeamId,
+    },
+    /// The plan may use a pool that the second list does not have.
+    UnknownPool {
+        /// Plan that names the pool.
+        plan: PlanId,
+        /// Pool that is missing.
+        pool: PoolId,
+    },
+    /// The key authenticates a team that the first list does not have.
+    UnknownTeam {
+        /// Public part of the key.
+        key: KeyId,
+        /// Team that is missing.
+        team: TeamId,
+    },
+}
+
+impl fmt::Display for ConfigFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UnknownPlan { team, plan } => {
+                write!(f, "team {team} holds plan {plan}, which the second list does not have")
+            }
+            Self::NoShare { team } => write!(f, "team {team} has share 0; the least is 1"),
+            Self::UnknownPool { plan, pool } => {
+                write!(f, "plan {plan} may use pool {pool}, which the second list does not have")
+            }
+            Self::UnknownTeam { key, team } => {
+                write!(f, "key {key} speaks for team {team}, which the first list does not have")
+            }
+        }
+    }
+}
+
 /// Verifies that teams, plans and keys refer only to existing plans, pools and teams, and that each
 /// share is at least 1.
 pub fn check_config(doc: &ConfigDoc) -> Vec<Violation> {
-    let mut violations = Vec::new();
+    let to_violation = |fault: &ConfigFault| Violation(fault.to_string().into());
+    find_config_faults(doc).iter().map(to_violation).collect()
+}
+
+/// Returns what [`check_config`] reports, with the affected entries.
+pub fn find_config_faults(doc: &ConfigDoc) -> Vec<ConfigFault> {
+    let mut faults = Vec::new();
     for (team, row) in &doc.teams {
         if !doc.plans.contains_key(&row.plan) {
-            add_violation(
-                &mut violations,
-                format!("team {team} holds plan {}, which the second list does not have", row.plan),
-            );
+            faults.push(ConfigFault::UnknownPlan { team: team.clone(), plan: row.plan.clone() });
         }
         if row.share == 0 {
-            add_violation(&mut violations, format!("team {team} has share 0; the least is 1"));
+            faults.push(ConfigFault::NoShare { team: team.clone() });
         }
     }
     for (plan, grant) in &doc.plans {
         for pool in grant.pools.iter().filter(|pool| !doc.pools.contains_key(*pool)) {
-            add_violation(
-                &mut violations,
-                format!("plan {plan} may use pool {pool}, which the second list does not have"),
-            );
+            faults.push(ConfigFault::UnknownPool { plan: plan.clone(), pool: pool.clone() });
         }
     }
     for (key, record) in &doc.keys {
         if !doc.teams.contains_key(&record.team) {
-            add_violation(
-                &mut violations,
-                format!(
-                    "key {key} speaks for team {}, which the first list does not have",
-                    record.team
-                ),
-            );
+            let (key, team) = (key.clone(), record.team.clone());
+            faults.push(ConfigFault::UnknownTeam { key, team });
         }
     }
-    violations
+    faults
 }
 
 /// Verifies that the allocations and the placed jobs of a team sum up to at most the limit, and
