Command line: wrong usage exits with 2

Cause: bpaf exits with 1 on a fault of the command line, while the program documents 2 and 1 means that a daemon has refused the command, or that a check has findings.

Change: main prints the message of the parser and returns the exit code itself.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -20,9 +20,13 @@
 use std::process::ExitCode;
 
 use arguments::{Command, Options, options};
+use bpaf::{Args, ParseFailure};
 use check::FileKind;
 use client::Client;
 
+/// Width of help texts, in characters.
+const MAX_USAGE_WIDTH: usize = 100;
+
 /// Outcome of a command, which sets the exit code.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CommandOutcome {
@@ -47,7 +51,10 @@
 }
 
 fn main() -> ExitCode {
-    let options: Options = options().run();
+    let options: Options = match options().run_inner(Args::current_args()) {
+        Ok(options) => options,
+        Err(message) => return print_usage(&message),
+    };
     match run(&options) {
         Ok(outcome) => ExitCode::from(outcome.exit_code()),
         Err(error) => {
@@ -57,6 +64,16 @@
     }
 }
 
+/// Prints a help text or the fault of a command line. `bpaf` itself would exit with 1 on a fault,
+/// which means that a daemon has refused the command.
+fn print_usage(message: &ParseFailure) -> ExitCode {
+    message.print_message(MAX_USAGE_WIDTH);
+    match message {
+        ParseFailure::Stderr(_) => ExitCode::from(CommandOutcome::Usage.exit_code()),
+        _ => ExitCode::SUCCESS,
+    }
+}
+
 fn run(options: &Options) -> eyre::Result<CommandOutcome> {
     let client = Client::new(options)?;
     match &options.command {
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -89,3 +89,14 @@
     assert_eq!(output.status.code(), Some(4));
     assert!(!output.stderr.is_empty());
 }
+
+/// Guards against an option that a script misspells and takes for findings: the exit code of wrong
+/// usage is 2 in all commands.
+#[rstest]
+#[case(&["check"])]
+#[case(&["check", "--kinds", "job", "good.jsonc"])]
+#[case(&["vm", "drain"])]
+fn wrong_usage_has_its_exit_code(#[case] arguments: &[&str]) {
+    let folder = TestFolder::new("wrong_usage");
+    assert_eq!(folder.run(arguments).status.code(), Some(2));
+}
