--- a/crates/check/tests/platform_files.rs
+++ b/crates/check/tests/platform_files.rs
@@ -39,6 +39,18 @@
     assert_eq!(check_config(CONFIG), "");
 }
 
+#[test]
+fn examples_have_no_findings() {
+    let files = [
+        ("config.json", include_str!("../../../examples/platform/config.json")),
+        ("wave.json", include_str!("../../../examples/platform/wave.json")),
+        ("job.jsonc", include_str!("../../../examples/job.jsonc")),
+    ];
+    let vms = include_str!("../../../examples/platform/machines.json");
+    let vms = Some(file("machines.json", vms));
+    assert_eq!(render(&run_check(&CheckInput { vms, ..input(&files) })), "");
+}
+
 #[rstest]
 #[case::comment("comment", "\"Version\": 7", "// seven\n \"Version\": 7")]
 #[case::negative("negative", "\"Cpu\": 8000", "\"Cpu\": -1")]
