Configuration check: named kinds and faulty files in comparisons

Change: a whole configuration is recognised under a named kind too, and no statement on differences is made where a file has errors and none was found.

--- a/crates/check/src/report.rs
+++ b/crates/check/src/report.rs
@@ -21,6 +21,7 @@
     pub files: Vec<FileSummary>,
     /// Findings in order of file names and positions.
     pub findings: Vec<Finding>,
-    /// Differences from the version in force; `None` if no such version was given.
+    /// Differences from the version in force; `None` if no such version was given, or if
+    /// none was found and a file has errors.
     pub differences: Option<Vec<Difference>>,
 }
--- a/crates/check/src/run.rs
+++ b/crates/check/src/run.rs
@@ -3,7 +3,7 @@
 use findings::{Finding, FindingList, Severity, SourceFile, VmInventory};
 use jobs::JobSpec;
 use platform::check::CheckedConfig;
-use state::{ConfigDoc, DaemonSettings, Millis, SettingFault};
+use state::{ConfigDoc, DaemonSettings, Millis, ParsedValue, SettingFault};
 
 use crate::kind::{all_names, recognise};
 use crate::list_set::{CheckedList, check_lists_together};
@@ -56,18 +56,22 @@
     pub(crate) content: Content,
 }
 
+impl CheckedFile {
+    fn is_faulty(&self) -> bool {
+        matches!(self.content, Content::Faulty)
+    }
+}
+
 /// Checks files, by themselves and together, and compares them with the versions in force.
 pub fn run_check(input: &CheckInput) -> CheckReport {
     let mut findings = Vec::new();
-    let inventory = input.vms.as_ref().and_then(|file| {
-        let inventory = SourceFile::read(&file.name, &file.bytes)
-            .and_then(|source| inventory::read_inventory(&source));
-        inventory.map_err(|fault| findings.push(to_finding(&file.name, fault))).ok()
-    });
+    let inventory = read_inventory(input, &mut findings);
     let mut files = Vec::new();
     let mut summaries = Vec::new();
     for file in &input.files {
-        let checked = check_file(file, input, inventory.as_ref(), &mut findings);
+        let choose_kind = |value: &ParsedValue| input.kind.or_else(|| recognise(value));
+        let checked =
+            check_file(file, choose_kind, input.maintenance, inventory.as_ref(), &mut findings);
         let kind = checked.as_ref().map(|checked| checked.kind);
         summaries.push(FileSummary { file: file.name.clone(), kind });
         files.extend(checked);
@@ -77,19 +81,34 @@
     findings.extend(check_together(&files, base.as_ref()));
     let differences = (!against.is_empty() || base.is_some())
         .then(|| compare::compare_all(&files, &against, base.as_ref(), &mut findings));
+    // What a file with errors would change is not known.
+    let is_complete = files.len() == input.files.len() && !files.iter().any(CheckedFile::is_faulty);
+    let differences = differences.filter(|differences| is_complete || !differences.is_empty());
     findings.sort();
     CheckReport { files: summaries, findings, differences }
 }
 
+fn read_inventory(input: &CheckInput, findings: &mut Vec<Finding>) -> Option<VmInventory> {
+    let file = input.vms.as_ref()?;
+    SourceFile::read(&file.name, &file.bytes)
+        .and_then(|source| inventory::read_inventory(&source))
+        .map_err(|fault| findings.push(to_finding(&file.name, fault)))
+        .ok()
+}
+
 /// Reads the versions in force. Their findings do not concern the files that are checked, except
 /// for the errors of a file that cannot be compared.
 fn read_against(input: &CheckInput, findings: &mut Vec<Finding>) -> Vec<CheckedFile> {
     let mut against = Vec::new();
     for file in &input.against {
         let mut file_findings = Vec::new();
-        let checked = check_file(file, input, None, &mut file_findings);
-        let is_faulty = |checked: &CheckedFile| matches!(checked.content, Content::Faulty);
-        if checked.as_ref().is_none_or(is_faulty) {
+        // A named kind is that of the files to check, which may be parts of a whole configuration.
+        let choose_kind = |value: &ParsedValue| match recognise(value) {
+            Some(FileKind::Config) => Some(FileKind::Config),
+            recognised => input.kind.or(recognised),
+        };
+        let checked = check_file(file, choose_kind, input.maintenance, None, &mut file_findings);
+        if checked.as_ref().is_none_or(CheckedFile::is_faulty) {
             file_findings.retain(|finding| finding.severity == Severity::Error);
             findings.append(&mut file_findings);
         }
@@ -106,15 +125,16 @@
 
 fn check_file(
     file: &InputFile,
-    input: &CheckInput,
+    choose_kind: impl Fn(&ParsedValue) -> Option<FileKind>,
+    maintenance: Millis,
     inventory: Option<&VmInventory>,
     findings: &mut Vec<Finding>,
 ) -> Option<CheckedFile> {
     let mut list = FindingList::new(&file.name);
     let checked = match SourceFile::read(&file.name, &file.bytes) {
-        Ok(source) => match input.kind.or_else(|| recognise(&source.value)) {
+        Ok(source) => match choose_kind(&source.value) {
             Some(kind) => {
-                let content = check_content(&source, kind, input, inventory, &mut list);
+                let content = check_content(&source, kind, maintenance, inventory, &mut list);
                 Some(CheckedFile { source, kind, content })
             }
             None => {
@@ -138,7 +158,7 @@
 fn check_content(
     source: &SourceFile,
     kind: FileKind,
-    input: &CheckInput,
+    maintenance: Millis,
     inventory: Option<&VmInventory>,
     list: &mut FindingList,
 ) -> Content {
@@ -155,8 +175,9 @@
         FileKind::PlatformConfig => {
             platform::check::check_config(source, inventory, list).map(Content::PlatformConfig)
         }
-        FileKind::Wave => platform::check::check_wave(source, inventory, input.maintenance, list)
-            .map(Content::Wave),
+        FileKind::Wave => {
+            platform::check::check_wave(source, inventory, maintenance, list).map(Content::Wave)
+        }
     };
     let content = content.unwrap_or(Content::Faulty);
     if let Some(inventory) = inventory {
--- a/crates/check/tests/differences.rs
+++ b/crates/check/tests/differences.rs
@@ -103,3 +103,24 @@
     let another_kind = compare("grants.jsonc", PLANS, GRANTS);
     insta::assert_snapshot!(format!("{another_kind}\n{}", compare("grants.jsonc", "{", GRANTS)));
 }
+
+/// Guards against a named kind that is also taken for the whole configuration in force.
+#[test]
+fn named_kind_against_the_configuration_in_force() {
+    let kind = Some(check::FileKind::Plans);
+    let against = vec![file("in-force", IN_FORCE)];
+    let files = [("plans.jsonc", CHANGED_PLANS)];
+    let report = run_check(&CheckInput { kind, against, ..input(&files) });
+    assert_eq!(render(&report), compare("plans.jsonc", IN_FORCE, CHANGED_PLANS));
+}
+
+/// Guards against a file with errors of which the report says that it changes nothing.
+#[test]
+fn files_with_errors_have_no_differences() {
+    let faulty = CHANGED_PLANS.replace("share", "shares");
+    for before in [PLANS, IN_FORCE] {
+        let against = vec![file("in-force", before)];
+        let report = run_check(&CheckInput { against, ..input(&[("plans.jsonc", &faulty)]) });
+        assert_eq!(report.differences, None);
+    }
+}
