--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -193,7 +193,8 @@
     /// occurrence is due at once.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
         self.timetable.map_or(0, |timetable| {
-            timetable.first_due_ms + u64::from(occurrence) * timetable.interval.0
+            let offset = u64::from(occurrence).saturating_mul(timetable.interval.0);
+            timetable.first_due_ms.saturating_add(offset)
         })
     }
 
