Overload: margins for uncertain run times, and teams below their share first

Cause: the first selection placed each chosen job at its latest start, so that any error of its run times made it late, also for teams that use a fraction of their share.

Change: work is planned to start earlier than its latest start, by 30 % of the remaining path, and at most half of the time left. Jobs of a team whose load is below a third of that of a team which loses jobs are placed before others of their priority. A scenario through the owner (tests/rules/selection.rs) counts the jobs that meet their objective in a burst at twice the capacity.

--- a/crates/fleet/src/pool/overload.rs
+++ b/crates/fleet/src/pool/overload.rs
@@ -52,7 +52,7 @@
 impl ClassCounts {
     fn add(&mut self, class: JobClass) {
         match class {
-            JobClass::InTime => self.in_time += 1,
+            JobClass::Protected | JobClass::InTime => self.in_time += 1,
             JobClass::Late => self.late += 1,
             JobClass::Expired => self.expired += 1,
         }
--- a/crates/fleet/src/pool/ready_queue.rs
+++ b/crates/fleet/src/pool/ready_queue.rs
@@ -21,6 +21,8 @@
 struct PlaceRank {
     class: RankClass,
     priority: u32,
+    /// Whether jobs of teams that use less than their share come before this one.
+    is_unprotected: bool,
     /// Latest time at which the rest of the job must start to meet the objective, or, for a job
     /// that was left out, to end before it expires; in milliseconds since 1970.
     latest_start_ms: u64,
@@ -36,15 +38,21 @@
 impl PlaceRank {
     fn new(load: &JobLoad, class: JobClass) -> Self {
         let latest_start_ms = match class {
-            JobClass::InTime => load.latest_start_ms(),
+            JobClass::Protected | JobClass::InTime => load.latest_start_ms(),
             JobClass::Late | JobClass::Expired => load.last_start_ms(),
         };
-        Self { class: RankClass::Selected(class), priority: load.priority, latest_start_ms }
+        Self {
+            class: RankClass::Selected(class.max(JobClass::InTime)),
+            priority: load.priority,
+            is_unprotected: class != JobClass::Protected,
+            latest_start_ms,
+        }
     }
 
     fn long_running(load: &JobLoad) -> Self {
         let latest_start_ms = load.latest_start_ms();
-        Self { class: RankClass::LongRunning, priority: load.priority, latest_start_ms }
+        let (class, priority) = (RankClass::LongRunning, load.priority);
+        Self { class, priority, is_unprotected: true, latest_start_ms }
     }
 }
 
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -22,6 +22,7 @@
 mod replaced_minions;
 mod saving;
 mod seeded_runs;
+mod selection;
 mod simulation;
 mod slow_links;
 mod stalls;
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -225,6 +225,10 @@
     /// Decisions to start a task, to move a VM, or to stop a task because its VM drains, each with
     /// its daemon.
     pub order_decisions: Vec<(usize, DecisionLine)>,
+    /// Selections of the jobs that a full pool completes in time.
+    pub selection_decisions: Vec<DecisionLine>,
+    /// Virtual time, in milliseconds, at which the last run of each job so far was done.
+    pub done_at: BTreeMap<JobId, u64>,
     /// Scope and start of each range that the store has answered with a page.
     pub read_pages: Vec<(KeyScope, Option<StoreKey>)>,
     /// Messages with the daemon and its incarnation, by delivery time and sequence number.
@@ -268,6 +272,8 @@
             pool_decisions: Vec::new(),
             measurements: Vec::new(),
             order_decisions: Vec::new(),
+            selection_decisions: Vec::new(),
+            done_at: BTreeMap::new(),
             read_pages: Vec::new(),
             messages: BTreeMap::new(),
             last_sequence: 0,
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -217,6 +217,7 @@
                 }
                 match line.decision {
                     "pool" => self.pool_decisions.push((self.now, daemon, line)),
+                    "selection" => self.selection_decisions.push(line),
                     "start" | "move" => self.order_decisions.push((daemon, line)),
                     // Other lines of a move have its answer.
                     "move-vm" if line.outcome.starts_with("to ") => {
--- a/crates/fleet/tests/rules/simulation/environment.rs
+++ b/crates/fleet/tests/rules/simulation/environment.rs
@@ -1,6 +1,8 @@
 //! Events that need no daemon: reports of minions, finished runs, expired leases, VMs that
 //! are up again, and answers to watches and holds.
 
+use fleet::io::EndKind;
+
 use super::*;
 
 impl Simulation {
@@ -111,6 +113,9 @@
                     self.checker.record_start(self.now, &self.config, &report, &task, run, is_late);
                 }
                 MinionEvent::Ended { task, run, kind, number } => {
+                    if kind == EndKind::Done {
+                        self.done_at.insert(task.job.clone(), self.now);
+                    }
                     self.checker.record_finished_run(
                         id,
                         report.minion_incarnation,
--- a/crates/policy/src/overload.rs
+++ b/crates/policy/src/overload.rs
@@ -20,10 +20,17 @@
 /// the runs take about seven times as long as the rest), and capacity that a run has left is idle
 /// until the next start.
 const PLANNED_CAPACITY_PERCENT: u64 = 75;
+/// Margin for the remaining path of a job, in percent: run times are estimates, and a step ends with
+/// the slowest of its tasks.
+const PATH_MARGIN_PERCENT: u64 = 30;
 /// Teams whose load is at least this percentage of the highest load lose alike, so that among
 /// nearly equal teams the largest job is left out.
 const SIMILAR_LOAD_PERCENT: f64 = 75.0;
 
+/// Teams whose load is below this percentage of that of a team which loses jobs are protected. Among
+/// teams with nearly equal demand, protection only disturbs the order by the latest start.
+const PROTECTED_LOAD_PERCENT: f64 = 33.0;
+
 /// Tasks of a step that have not started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StepLoad {
@@ -75,6 +82,14 @@
     }
 }
 
+/// Returns when a step should start whose job should end at `end_ms`: earlier than the latest start,
+/// by a margin of at most half of the time until then.
+fn planned_start_ms(now_ms: u64, end_ms: u64, remaining_path: Millis) -> u64 {
+    let latest_start_ms = end_ms.saturating_sub(remaining_path.0);
+    let margin_ms = remaining_path.0.saturating_mul(PATH_MARGIN_PERCENT) / 100;
+    latest_start_ms - margin_ms.min(latest_start_ms.saturating_sub(now_ms) / 2)
+}
+
 /// Capacity of a pool for the jobs to select from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct PoolCapacity {
@@ -109,6 +124,10 @@
 /// Class of a job, in the order of placement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum JobClass {
+    /// The job is expected to meet its objective, and its team uses less than its share while
+    /// others, which use more, have lost jobs. It is placed before other jobs of its priority, so
+    /// that the load of those teams does not delay it.
+    Protected,
     /// The job is expected to meet its objective.
     InTime,
     /// The job is left out, and can still be done within three times its objective.
@@ -127,6 +146,7 @@
 ) -> Box<[JobClass]> {
     let mut selection = JobSelection::new(jobs, capacity, shares, now_ms);
     selection.select(JobClass::InTime);
+    selection.protect_small_teams();
     selection.select(JobClass::Late);
     let classes = selection.states.iter().map(|state| state.class.unwrap_or(JobClass::Expired));
     classes.collect()
@@ -134,7 +154,7 @@
 
 /// Work that must start by a time.
 struct DueWork {
-    latest_start_ms: u64,
+    planned_start_ms: u64,
     job: usize,
     work: u64,
     run_time: Millis,
@@ -158,6 +178,8 @@
     /// Past use and the work of the jobs selected so far, in millicores times milliseconds.
     served_work: f64,
     counted_work: u128,
+    /// Whether a job of the team was left out that could be done alone.
+    has_lost: bool,
 }
 
 impl TeamState {
@@ -199,6 +221,7 @@
                     limit: shares.limit(team),
                     served_work: shares.used_work(team),
                     counted_work: 0,
+                    has_lost: false,
                 });
                 teams.len() - 1
             });
@@ -232,6 +255,19 @@
         }
     }
 
+    /// Protects the selected jobs of teams that use less than those which have lost jobs.
+    fn protect_small_teams(&mut self) {
+        let losing = self.teams.iter().filter(|team| team.has_lost);
+        let highest = losing.map(TeamState::load).fold(0.0, f64::max);
+        let limit = highest * PROTECTED_LOAD_PERCENT / 100.0;
+        for state in &mut self.states {
+            let team = &self.teams[state.team];
+            if state.class == Some(JobClass::InTime) && !team.has_lost && team.load() < limit {
+                state.class = Some(JobClass::Protected);
+            }
+        }
+    }
+
     /// Clears the sums of the previous pass. The served work of the selected jobs remains.
     fn begin_pass(&mut self) {
         self.counted_work = 0;
@@ -251,7 +287,7 @@
         let mut due_work = Vec::new();
         for (index, job) in self.jobs.iter().enumerate() {
             let end_ms = match self.states[index].class.unwrap_or(class) {
-                JobClass::InTime => job.objective_ms,
+                JobClass::Protected | JobClass::InTime => job.objective_ms,
                 JobClass::Late | JobClass::Expired => job.expiry_ms,
             };
             if self.states[index].class.is_none() && !self.is_possible(job, end_ms) {
@@ -259,13 +295,13 @@
                 continue;
             }
             due_work.extend(job.steps.iter().map(|step| DueWork {
-                latest_start_ms: end_ms.saturating_sub(step.remaining_path.0),
+                planned_start_ms: planned_start_ms(self.now_ms, end_ms, step.remaining_path),
                 job: index,
                 work: step.work,
                 run_time: step.run_time,
             }));
         }
-        due_work.sort_unstable_by_key(|due| (due.latest_start_ms, due.job));
+        due_work.sort_unstable_by_key(|due| (due.planned_start_ms, due.job));
         due_work
     }
 
@@ -302,7 +338,7 @@
     /// Leaves jobs out until the work counted so far can start in time, within the limit of the
     /// team of the last counted work and within the pool's capacity.
     fn leave_out_excess(&mut self, due: &DueWork) {
-        let duration_ms = due.latest_start_ms.saturating_sub(self.now_ms);
+        let duration_ms = due.planned_start_ms.saturating_sub(self.now_ms);
         let team = self.states[due.job].team;
         if let Some(limit) = self.teams[team].limit {
             let limit_work = limit.work_started_within(duration_ms, due.run_time);
@@ -349,6 +385,7 @@
         let state = &mut self.states[job];
         let team = &mut self.teams[state.team];
         state.is_left_out = true;
+        team.has_lost = true;
         self.counted_work -= u128::from(state.counted_work);
         team.counted_work -= u128::from(state.counted_work);
         team.served_work -= state.unstarted_work as f64;
