--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -23,6 +23,7 @@
 mod run_times;
 mod saving;
 mod seeded_runs;
+mod selection;
 mod simulation;
 mod slow_links;
 mod stalls;
--- a/crates/fleet/tests/rules/simulation/environment.rs
+++ b/crates/fleet/tests/rules/simulation/environment.rs
@@ -1,6 +1,8 @@
 //! Events that need no daemon: reports of minions, finished runs, expired leases, VMs that
 //! are up again, and answers to watches and holds.
 
+use fleet::io::EndKind;
+
 use super::*;
 
 impl Simulation {
@@ -112,6 +114,9 @@
                 }
                 MinionEvent::Ended { task, run, kind, number } => {
                     self.ended_runs.push((self.now, id.clone(), task.clone(), kind));
+                    if kind == EndKind::Done {
+                        self.done_at.insert(task.job.clone(), self.now);
+                    }
                     self.checker.record_finished_run(
                         id,
                         report.minion_incarnation,
