VM health: hold back VMs that are slow or fail, and probe them

Cause: a VM on which runs take 5 times as long, or fail at once, got as much work as others, and one that fails at once most of it, since it always has the most free capacity. Starts were sent to the rest of a rack that was being lost.

Change: policy::vm_health judges each VM by its runs against its peers (durations of the same step elsewhere, or expected times; failures as far as the same step succeeds elsewhere; refused starts; losses of contact). The owner applies a weight to the VM's capacity, allows probes, stops stragglers on slow VMs within a budget, and pauses a rack that has stopped answering. At most a third of the VMs are held back. Run times of VMs that are held back are not learned from. Log lines vm-health, straggler and rack, metric vm_health.

--- a/crates/daemon/src/runtime/load_report.rs
+++ b/crates/daemon/src/runtime/load_report.rs
@@ -54,7 +54,7 @@
                 self.saved_ends += 1;
                 self.max_end_saved = self.max_end_saved.max(duration);
             }
-            Measurement::RunTime { .. } => {}
+            Measurement::RunTime { .. } | Measurement::VmHealth(_) => {}
         }
     }
 
--- a/crates/daemon/src/runtime/metrics.rs
+++ b/crates/daemon/src/runtime/metrics.rs
@@ -75,6 +75,7 @@
     end_saved_seconds: Histogram,
     save_answer_seconds: Histogram,
     run_time_ratio: HistogramFamily,
+    vm_health: Family<KindLabel, Counter>,
     event_wait_seconds: Histogram,
     decisions: Family<KindLabel, Counter>,
     /// Decision lines dropped because the log channel was full.
@@ -182,6 +183,12 @@
                 "Measured run time of a task in relation to the declared and to the expected one",
                 Family::new_with_constructor(new_ratio_histogram as fn() -> Histogram),
             ),
+            vm_health: register(
+                own,
+                "vm_health",
+                "Decisions about the health of VMs and racks",
+                Family::default(),
+            ),
             decisions: register(own, "decisions", "Decisions, as logged", Family::default()),
             dropped_lines: register(
                 own,
@@ -299,6 +306,9 @@
             Measurement::SaveAnswered(duration) => {
                 self.save_answer_seconds.observe(to_seconds(duration));
             }
+            Measurement::VmHealth(decision) => {
+                self.vm_health.get_or_create(&KindLabel { kind: decision.label() }).inc();
+            }
             Measurement::RunTime { declared, expected, measured } => {
                 for (kind, estimate) in [("declared", declared), ("expected", expected)] {
                     let ratio = measured.0 as f64 / estimate.0.max(1) as f64;
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -164,7 +164,38 @@
     }
 }
 
-/// Duration that the caller of the state machine adds to its metrics.
+/// Decision about the health of a VM or a rack.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum VmHealthDecision {
+    /// A VM that is slow or fails gets less work.
+    HeldBack,
+    /// A VM gets all its work back.
+    Restored,
+    /// A task may start on a VM that is held back, to learn whether it has recovered.
+    Probe,
+    /// A run on a slow VM was stopped, so that its task starts elsewhere.
+    StragglerStopped,
+    /// A rack has stopped answering, so no task is started there.
+    RackPaused,
+    /// A VM of a paused rack answers again.
+    RackResumed,
+}
+
+impl VmHealthDecision {
+    /// Returns the label of the decision in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::HeldBack => "held-back",
+            Self::Restored => "restored",
+            Self::Probe => "probe",
+            Self::StragglerStopped => "straggler-stopped",
+            Self::RackPaused => "rack-paused",
+            Self::RackResumed => "rack-resumed",
+        }
+    }
+}
+
+/// Value that the caller of the state machine adds to its metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Measurement {
     /// Time for which a started task had been ready, and what had prevented its start.
@@ -184,6 +215,8 @@
         /// Time from the confirmed start to the listed end.
         measured: Millis,
     },
+    /// Decision about the health of a VM or a rack.
+    VmHealth(VmHealthDecision),
 }
 
 /// Effect that the caller of the state machine carries out.
--- a/crates/fleet/src/pool/finished.rs
+++ b/crates/fleet/src/pool/finished.rs
@@ -40,6 +40,7 @@
             format!("{kind:?}"),
         );
         self.measure_run(context, id, &task, run, kind);
+        self.note_run_end(context, id, &task, run, kind);
         self.release_run(id, &task, run);
         self.note_started(context.clock.now, &task.job);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use jobs::{Resources, RunNumber, TaskName};
+use policy::FULL_WEIGHT;
 use state::{Millis, Moment, TeamId};
 
 use super::pass::UnusableReason;
@@ -120,6 +121,12 @@
     pub(super) starts_paused_until: Moment,
     /// Whether the minion's VM is being drained, for maintenance or to be offered.
     pub(super) is_being_drained: bool,
+    /// Part of the capacity that may be used, in percent, by the judgement of its VM (`vm_health`).
+    pub(super) weight: u8,
+    /// Whether one task may start although the weight does not allow it.
+    pub(super) may_probe: bool,
+    /// Whether the minion's rack has stopped answering.
+    pub(super) is_rack_dark: bool,
 }
 
 impl OwnedMinion {
@@ -149,6 +156,9 @@
             last_hold_at: Moment(0),
             starts_paused_until: Moment(0),
             is_being_drained: false,
+            weight: FULL_WEIGHT,
+            may_probe: false,
+            is_rack_dark: false,
         }
     }
 
@@ -158,16 +168,28 @@
             Some(UnusableReason::Draining)
         } else if !self.is_fenced || !self.is_in_roster || self.clock.is_none() {
             Some(UnusableReason::Unconfirmed)
-        } else if now < self.starts_paused_until || self.is_unresponsive {
+        } else if now < self.starts_paused_until || self.is_unresponsive || self.is_rack_dark {
             Some(UnusableReason::Paused)
+        } else if self.weight == 0 && !self.may_probe {
+            Some(UnusableReason::HeldBack)
         } else {
             None
         }
     }
 
-    /// Returns the capacity that no run reserves.
+    /// Whether the minion's VM gets less work than others.
+    pub(super) fn is_held_back(&self) -> bool {
+        self.weight < FULL_WEIGHT
+    }
+
+    /// Returns the capacity that no run reserves and that the VM's weight allows. Probes may use all of
+    /// it.
     pub(super) fn free_capacity(&self) -> Resources {
-        self.report.capacity.saturating_sub(&self.used)
+        let mut usable = self.report.capacity;
+        if self.is_held_back() && !self.may_probe {
+            usable.processor.0 = usable.processor.0 * u64::from(self.weight) / 100;
+        }
+        usable.saturating_sub(&self.used)
     }
 
     /// Records a reading of the minion's clock that was processed at `now`.
@@ -218,6 +240,7 @@
 
     /// Adds a run and reserves its resources.
     pub(super) fn insert_run(&mut self, key: RunKey, run: MinionRun) {
+        self.may_probe = false;
         self.runs.insert(key, run);
         self.sum_reservations();
     }
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -41,6 +41,7 @@
 mod team_use;
 mod throttle;
 mod unsaved;
+mod vm_health;
 mod work;
 mod work_estimate;
 
@@ -70,6 +71,7 @@
 use run_times::RunTimeState;
 use save::SaveState;
 use save_lane::SaveLane;
+use vm_health::VmHealthState;
 use work::WorkCounter;
 
 /// Calls of a pool's owner to the store and to minions, recorded to match each answer.
@@ -157,6 +159,7 @@
     demand: DemandState,
     expiry: ExpiryQueue,
     run_times: RunTimeState,
+    vm_health: VmHealthState,
     work: WorkCounter,
     /// Whether the daemon is stopping, so that no more tasks are placed.
     is_stopping: bool,
@@ -195,6 +198,7 @@
             demand: DemandState::default(),
             expiry: ExpiryQueue::default(),
             run_times: RunTimeState::default(),
+            vm_health: VmHealthState::default(),
             work: WorkCounter::default(),
             is_stopping: false,
             is_lost: false,
@@ -264,6 +268,7 @@
         sent_at: Moment,
         answer: MinionAnswer,
     ) {
+        self.note_contact(context.clock.now, &call, &answer);
         match call {
             PoolCall::Hold { minion, incarnation, last_saved_end } => {
                 if matches!(
@@ -329,6 +334,7 @@
         self.note_roster_changes();
         self.expire_outcomes(context);
         self.keep_run_times(context);
+        self.judge_vms(context);
         self.hold_queue.add_all();
         self.pass.request();
         self.save.may_release_ends = true;
--- a/crates/fleet/src/pool/pass.rs
+++ b/crates/fleet/src/pool/pass.rs
@@ -83,8 +83,10 @@
     Draining,
     /// It has not answered this owner, or is not in the stored roster yet.
     Unconfirmed,
-    /// A start or hold has failed a short time ago.
+    /// A start or hold has failed a short time ago, or its rack has stopped answering.
     Paused,
+    /// Its VM fails more often than others, and gets only probes.
+    HeldBack,
 }
 
 /// Number and free capacity of some minions.
--- a/crates/fleet/src/pool/run_times.rs
+++ b/crates/fleet/src/pool/run_times.rs
@@ -149,7 +149,7 @@
     }
 
     /// Returns the time from a run's confirmed start until now, if it shows the run time of the task.
-    fn measured_time(
+    pub(super) fn measured_time(
         &self,
         id: &MinionId,
         task: &TaskName,
@@ -162,10 +162,13 @@
             .then(|| now - run.confirmed_at)
     }
 
-    /// Whether runs of a step take as long on a minion as on others: the minion is near the step's data.
+    /// Whether runs of a step take as long on a minion as on others: its VM is not held back, and the
+    /// minion is near the step's data.
     fn is_representative(&self, id: &MinionId, step: &StepSpec) -> bool {
-        let Some(rack) = step.data_rack.as_ref() else { return true };
-        self.minions.get(id).is_some_and(|minion| minion.report.labels.contains(rack))
+        self.minions.get(id).is_some_and(|minion| {
+            let rack = step.data_rack.as_ref();
+            !minion.is_held_back() && rack.is_none_or(|rack| minion.report.labels.contains(rack))
+        })
     }
 
     /// Reads the run times that an earlier owner has measured.
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -28,4 +28,5 @@
 mod stalls;
 mod store;
 mod throughput;
+mod vm_health;
 mod waves;
--- a/crates/fleet/tests/rules/minion.rs
+++ b/crates/fleet/tests/rules/minion.rs
@@ -51,6 +51,8 @@
     pub stop_duration_ms: u64,
     /// Factor by which runs take longer than on other minions; it outlasts an incarnation.
     pub slowdown: u64,
+    /// Every run fails a short time after its start; it outlasts an incarnation.
+    pub fails_all: bool,
 }
 
 /// Event on a minion, for the rule checker.
@@ -102,6 +104,7 @@
             saved_end: 0,
             stop_duration_ms: STOP_DURATION_MS,
             slowdown: 1,
+            fails_all: false,
         }
     }
 
@@ -123,9 +126,10 @@
         report.minion_incarnation = now + 1;
         report.is_draining = false;
         let (clock_permille, is_partitioned) = (self.clock_permille, self.is_partitioned);
-        let slowdown = self.slowdown;
+        let (slowdown, fails_all) = (self.slowdown, self.fails_all);
         *self = Self::new(report, now, clock_permille);
         (self.is_partitioned, self.slowdown) = (is_partitioned, slowdown);
+        self.fails_all = fails_all;
     }
 
     /// Returns the time since the start of the incarnation by the minion's clock, in
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -16,6 +16,8 @@
     })
 }
 
+/// Time from the start to the failure of a run on a minion on which every run fails.
+const QUICK_FAILURE_MS: u64 = 30;
 /// Maximum transfer time of an answer that the link carries beside longer ones.
 const SHORT_TRANSFER_MS: u64 = 20;
 
@@ -326,6 +328,8 @@
         };
         let fake = self.minions.get_mut(&target.minion).expect("minion is reachable");
         let run_ms = true_run_ms.unwrap_or(run_ms) * fake.slowdown;
+        let (run_ms, fails) =
+            if fake.fails_all { (QUICK_FAILURE_MS, true) } else { (run_ms, fails) };
         let (answer, minion_events) =
             fake.execute_order(self.now, fencing_token, &order, step.as_ref(), (run_ms, fails));
         let hold_wait = match (&order, &answer) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,3 +14,4 @@
 mod vm_health;
 
 pub use run_times::{QueueCorrection, RunTimeRecord, RunTimeTable, ShapeKey};
+pub use vm_health::{FULL_WEIGHT, RackChange, RackWatch, StepKey, VmHealth, VmJudgement};
