--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,3 +18,4 @@
 pub use overload::{JobClass, JobLoad, PoolCapacity, StepLoad, select_jobs};
 pub use run_times::{QueueCorrection, RunTimeRecord, RunTimeTable, ShapeKey};
 pub use shares::{TeamShares, TeamUse};
+pub use vm_health::{FULL_WEIGHT, RackChange, RackWatch, StepKey, VmHealth, VmJudgement};
