--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,7 +6,7 @@
 
 mod admission;
 mod capacity;
-mod data_wait;
+pub mod data_wait;
 pub mod forecast;
 mod overload;
 mod run_times;
