--- a/crates/daemon/src/runtime/load_report.rs
+++ b/crates/daemon/src/runtime/load_report.rs
@@ -54,7 +54,11 @@
                 self.saved_ends += 1;
                 self.max_end_saved = self.max_end_saved.max(duration);
             }
-            Measurement::RunTime { .. } | Measurement::VmHealth(_) => {}
+            // The waits of started tasks include those for data; the metrics have the rest as well.
+            Measurement::RunTime { .. }
+            | Measurement::VmHealth(_)
+            | Measurement::DataWaitsBegun(_)
+            | Measurement::DataWaitEnded(..) => {}
         }
     }
 
--- a/crates/fleet/src/pool/demand.rs
+++ b/crates/fleet/src/pool/demand.rs
@@ -15,11 +15,11 @@
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{PutValue, StoreAnswer, StoreCall, StoreCommit, StorePut};
 use crate::key::{OwnKey, StoreKey};
-use crate::records::{PoolDemand, VmMaintenance, encode};
+use crate::records::{PoolDemand, encode};
 use crate::timing::{
     COMMIT_RETRY_DELAY, MIN_DEMAND_INTERVAL, VM_ARRIVAL_DELAY, WITHDRAWN_OFFER_PAUSE,
 };
-use crate::vm_controller::{incomplete_waves, wave_progress_of};
+use crate::vm_controller::vms_due_for_maintenance;
 
 /// Time for which a pool must have had a surplus of VMs before it offers one.
 const SURPLUS_DURATION: Millis = Millis(1_000);
@@ -199,7 +199,7 @@
         if now - surplus_start < SURPLUS_DURATION {
             return;
         }
-        let wave_vms = waiting_wave_vms(context);
+        let wave_vms = vms_due_for_maintenance(context);
         for id in self.least_loaded_minions(&wave_vms, surplus) {
             if let Some(minion) = self.minions.get_mut(&id)
                 && let Some(vm) = minion.report.vm.clone()
@@ -297,17 +297,6 @@
     }
 }
 
-/// Returns the VMs whose maintenance in an incomplete wave has not ended; they are not moved.
-fn waiting_wave_vms(context: &StepContext) -> BTreeSet<VmId> {
-    let mut waiting_vms = BTreeSet::new();
-    for order in incomplete_waves(context) {
-        let progress = wave_progress_of(context, order.wave);
-        let is_waiting = |vm: &VmId| progress.vms.get(vm) != Some(&VmMaintenance::Done);
-        waiting_vms.extend(order.vms.into_iter().filter(is_waiting));
-    }
-    waiting_vms
-}
-
 /// Returns the processor capacity of a VM, in millicores: the maximum over the reports of
 /// all pools' minions.
 fn typical_capacity(context: &StepContext) -> u64 {
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -16,6 +16,7 @@
 //! `hold_queue` holds the minions that may be due for a hold.
 
 mod answers;
+mod data_wait;
 mod demand;
 mod expiry;
 mod failures;
@@ -59,6 +60,7 @@
 use crate::registry::Registry;
 use crate::shared::SharedRecords;
 
+use data_wait::DataWaits;
 use demand::DemandState;
 use expiry::ExpiryQueue;
 use hold_queue::HoldQueue;
@@ -160,6 +162,7 @@
     limits: LocalAllocation,
     maintenance: MaintenanceState,
     demand: DemandState,
+    data_waits: DataWaits,
     expiry: ExpiryQueue,
     run_times: RunTimeState,
     vm_health: VmHealthState,
@@ -200,6 +203,7 @@
             limits: LocalAllocation::default(),
             maintenance: MaintenanceState::default(),
             demand: DemandState::default(),
+            data_waits: DataWaits::default(),
             expiry: ExpiryQueue::default(),
             run_times: RunTimeState::default(),
             vm_health: VmHealthState::default(),
--- a/crates/fleet/src/vm_controller/mod.rs
+++ b/crates/fleet/src/vm_controller/mod.rs
@@ -28,7 +28,9 @@
     VM_LIST_IDLE_INTERVAL, VM_LIST_INTERVAL,
 };
 
-pub(crate) use waves::{has_reached, incomplete_waves, wave_commit, wave_progress_of};
+pub(crate) use waves::{
+    has_reached, incomplete_waves, vms_due_for_maintenance, wave_commit, wave_progress_of,
+};
 
 /// Store and cloud calls of [`VmController`].
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/fleet/src/vm_controller/waves.rs
+++ b/crates/fleet/src/vm_controller/waves.rs
@@ -1,7 +1,9 @@
 //! Progress of maintenance waves: orders the maintenance of VMs that are marked as down, and marks
 //! those that are done.
 
-use state::Revision;
+use std::collections::BTreeSet;
+
+use state::{Revision, VmId};
 
 use super::{VmController, VmControllerCall, is_spare_pool};
 use crate::io::{CloudCall, PutValue, StoreCall, StoreCommit, StorePut};
@@ -141,6 +143,17 @@
     context.shared.wave_orders.values().filter(is_incomplete).cloned().collect()
 }
 
+/// Returns the VMs of incomplete waves whose maintenance has not ended; they are not moved.
+pub(crate) fn vms_due_for_maintenance(context: &StepContext) -> BTreeSet<VmId> {
+    let mut due = BTreeSet::new();
+    for order in incomplete_waves(context) {
+        let progress = wave_progress_of(context, order.wave);
+        let is_due = |vm: &VmId| progress.vms.get(vm) != Some(&VmMaintenance::Done);
+        due.extend(order.vms.into_iter().filter(is_due));
+    }
+    due
+}
+
 pub(crate) fn wave_progress_of(context: &StepContext, wave: u64) -> WaveProgressDoc {
     context
         .shared
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -17,10 +17,6 @@
 const BACKLOG_TARGET: Millis = Millis(1_500);
 /// Capacity that a pool retains for its open work, in percent of what the work needs.
 const RETAINED_PERCENT: u64 = 150;
-/// Capacity that a pool retains for the beginning of a burst, in percent of the burst's rate. A
-/// task that waits for the rest of the VMs for as long as a move takes can then still meet an
-/// objective of 1.6 times its run time and 600 ms.
-const ONSET_PERCENT: u64 = 50;
 /// VMs that a pool retains for the loss of others, in percent.
 const LOSS_RESERVE_PERCENT: u64 = 5;
 
