state: limits on clients, computed from the VM and checked at start

Cause: no limit on clients existed, so that none could be set or checked.

Change: one module owns the limits of all listening addresses. All faults of the settings are listed.

--- a/crates/daemon/src/runtime/reload.rs
+++ b/crates/daemon/src/runtime/reload.rs
@@ -58,6 +58,7 @@
             let is_changed = settings != *current;
             let needs_restart = settings.submitter_address != current.submitter_address
                 || settings.readiness_address != current.readiness_address
+                || settings.client_limits != current.client_limits
                 || settings.fleet != current.fleet;
             tracing::info!(cause, is_changed, needs_restart, "reloaded");
             host.replace_settings(settings);
--- a/crates/state/src/fault.rs
+++ b/crates/state/src/fault.rs
@@ -242,6 +242,23 @@
         field.and_then(|field| self.parse_number(field, range)).unwrap_or(default)
     }
 
+    /// Reads an optional whole number within `range`.
+    pub fn optional_number(
+        &mut self,
+        name: &'static str,
+        range: RangeInclusive<u64>,
+    ) -> Option<u64> {
+        let field = self.find_field(name)?;
+        self.parse_number(field, range)
+    }
+
+    /// Reports a fault of the field `name`, or of the object if the field is absent.
+    pub fn report_field(&mut self, name: &str, reason: &str) {
+        let field = self.fields.iter().find(|field| &*field.name == name);
+        let line = field.map_or(self.line, |field| field.line);
+        self.report(line, format!("{name:?}: {reason}"));
+    }
+
     fn parse_number(&mut self, field: &Field, range: RangeInclusive<u64>) -> Option<u64> {
         let ValueKind::Number(text) = &field.value.kind else {
             self.report_wrong_type(field, "a whole number");
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod allocation;
 mod claim;
+mod client_limits;
 mod config;
 mod fault;
 mod fleet;
@@ -33,6 +34,10 @@
 
 pub use allocation::{AllocationTable, DaemonRef, SlotDoc};
 pub use claim::{ClaimDoc, ClaimRecord, ClaimState, StoredAnswer};
+pub use client_limits::{
+    AddressLimits, BUSY_CONNECTION_BYTES, ClientAddress, ClientLimits, ClientOverrides,
+    ClientTimeouts, IDLE_CONNECTION_BYTES, SOCKET_BUFFER_BYTES, VmResources,
+};
 pub use config::{ConfigDoc, ConfigEdit, PlanGrant, PoolPolicy, Preference, Priority, TeamPlan};
 pub use fault::{ObjectReader, ParsedValue, SettingFault, parse_value};
 pub use fleet::{FleetDoc, VmListing, VmPresence, VmRecord, VmRole, VmState};
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use crate::{DaemonId, DataCentreId, ObjectReader, OperatorKey, SettingFault, VmId, parse_value};
+use crate::{
+    ClientLimits, ClientOverrides, DaemonId, DataCentreId, Mebibytes, ObjectReader, OperatorKey,
+    SettingFault, VmId, VmResources, parse_value,
+};
 
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +50,8 @@
     pub request_threads: u32,
     /// Maximum number of requests that wait for a slot, over all pools.
     pub queue_limit: u32,
+    /// Limits on clients of both listening addresses.
+    pub client_limits: ClientLimits,
     /// Address to which metrics are sent over UDP in the statsd format; `None` to send no metrics.
     pub metrics: Option<SocketAddr>,
     /// Format of log lines.
@@ -84,6 +89,7 @@
     let operator_key = reader.required_value("operator_key");
     let request_threads = reader.number_or_default("request_threads", 1..=1024, 256);
     let queue_limit = reader.number_or_default("queue_limit", 1..=100_000, 4096);
+    let client_limits = read_client_limits(reader);
     let metrics = reader.optional_value("metrics");
     let log_format = reader.optional_value("log_format").unwrap_or(LogFormat::Plain);
     let log_filter = reader.optional_value::<String>("log_filter").unwrap_or_else(|| "info".into());
@@ -97,8 +103,50 @@
         operator_key: operator_key?,
         request_threads: request_threads as u32,
         queue_limit: queue_limit as u32,
+        client_limits,
         metrics,
         log_format,
         log_filter: log_filter.into(),
     })
 }
+
+/// Names of the limits in [`ClientOverrides`], and the fields that override them.
+const CLIENT_FIELDS: [(&str, &str); 8] = [
+    ("memory", "client_memory_mb"),
+    ("connections", "client_connections"),
+    ("head_bytes", "client_head_bytes"),
+    ("body_bytes", "client_body_bytes"),
+    ("head_ms", "client_head_ms"),
+    ("body_ms", "client_body_ms"),
+    ("response_ms", "client_response_ms"),
+    ("idle_ms", "client_idle_ms"),
+];
+
+/// Reads the resources of the VM and the limits that override the computed ones.
+fn read_client_limits(reader: &mut ObjectReader<'_>) -> ClientLimits {
+    let memory = reader.optional_number("vm_memory_mb", 16..=1 << 24);
+    let vm = VmResources {
+        memory: memory.map(|memory| Mebibytes(memory as u32)),
+        descriptors: reader.optional_number("vm_descriptors", 256..=1 << 24),
+    };
+    let [memory, connections, head_bytes, body_bytes, head_ms, body_ms, response_ms, idle_ms] =
+        CLIENT_FIELDS.map(|(_, field)| reader.optional_number(field, 0..=u64::MAX));
+    let overrides = ClientOverrides {
+        memory,
+        connections,
+        head_bytes,
+        body_bytes,
+        head_ms,
+        body_ms,
+        response_ms,
+        idle_ms,
+    };
+    let limits = ClientLimits::for_vm(vm);
+    limits.with_overrides(&overrides).unwrap_or_else(|faults| {
+        for (name, reason) in faults {
+            let field = CLIENT_FIELDS.iter().find(|(limit, _)| *limit == name);
+            reader.report_field(field.map_or(name, |(_, field)| *field), &reason);
+        }
+        limits
+    })
+}
