transport: bounded HTTP server and peers' listener instead of tiny_http

Cause: tiny_http accepted connections without a bound, started threads for them, read heads without a limit, and read requests ahead while responses were unread; a client that sent no body kept a reader thread, and a failed accept ended the listener. The peers' listener had no bound on connections, and messages of up to 64 MiB.

Change: hyper on one thread for each listening address. A table has the phase of each connection, the memory that it holds and its timeouts; when connections, memory or descriptors run out, the connection that was idle longest is closed, then the one that waits longest for its client. Bodies are read on that thread, and reader threads get complete requests. A client that reads no responses has one request at a time in progress. Sockets have small kernel buffers, since bytes that were received and not read count as memory. Peers are in the same kind of table; a frame has at most 2 MiB. Refusals are counted by cause and address, log lines about them are bounded, and ids of requests in log lines are cut at 256 bytes. The stand-ins keep tiny_http.

The tests start the product with the memory and descriptors of the VM, so that its bounds follow from its settings; the bounds themselves are unchanged.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 
 mod channels;
 mod core_host;
+mod line_budget;
 mod logs;
 mod metrics;
 mod request_threads;
@@ -20,8 +21,8 @@
 use bpaf::Bpaf;
 use crossbeam::channel::bounded;
 use eyre::{Context, Result, eyre};
-use state::{DaemonSettings, Incarnation, parse_daemon_settings};
-use transport::{HttpServer, PeerSettings, start_peer_thread};
+use state::{ClientAddress, DaemonSettings, Incarnation, parse_daemon_settings};
+use transport::{ClientCounters, HttpServer, PeerSettings, start_peer_thread};
 
 use core_host::CoreHost;
 use metrics::MetricsExporter;
@@ -87,13 +88,22 @@
 }
 
 fn serve(settings: DaemonSettings) -> Result<()> {
-    let server = HttpServer::listen(settings.listen).map_err(|reason| eyre!("{reason}"))?;
-    let server = Arc::new(server);
+    let limits = settings.client_limits.of(ClientAddress::Requests);
+    let write_refusal = request_threads::build_server_refusal;
+    let server =
+        HttpServer::listen(settings.listen, ClientAddress::Requests, limits, write_refusal);
+    let server = Arc::new(server.map_err(|reason| eyre!("{reason}"))?);
+    let peer_counters = Arc::new(ClientCounters::new(ClientAddress::Peers));
     let (frame_sender, frame_receiver) = channels::open_frame_channel();
-    let peer_settings =
-        PeerSettings { listen_address: settings.peer_listen, incoming_frames: frame_sender };
+    let peer_settings = PeerSettings {
+        listen_address: settings.peer_listen,
+        incoming_frames: frame_sender,
+        limits: settings.client_limits.of(ClientAddress::Peers),
+        counters: Arc::clone(&peer_counters),
+    };
     let peers = start_peer_thread(peer_settings).map_err(|reason| eyre!("{reason}"))?;
-    let exporter = MetricsExporter::new(&settings).wrap_err("metrics")?;
+    let exporter = MetricsExporter::new(&settings, [Arc::clone(server.counters()), peer_counters])
+        .wrap_err("metrics")?;
     let (senders, receivers) = channels::open_channels(settings.request_threads);
     let (exit_sender, exit_receiver) = bounded(1);
     let host = Arc::new(CoreHost::new(&settings, senders, peers, exit_sender));
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -2,12 +2,14 @@
 
 use std::io;
 use std::net::UdpSocket;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cadence::prelude::*;
 use cadence::{BufferedUdpMetricSink, StatsdClient};
 use coordination::DaemonCounters;
 use state::DaemonSettings;
+use transport::{ClientCause, ClientCounters};
 
 const EXPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -16,12 +18,21 @@
     client: Option<StatsdClient>,
     previous: DaemonCounters,
     next_export: Instant,
+    clients: [ClientExport; 2],
+}
+
+/// Counters of a listening address, and the counts of the last export.
+struct ClientExport {
+    counters: Arc<ClientCounters>,
+    previous: [u64; ClientCause::ALL.len()],
 }
 
 impl MetricsExporter {
     /// Creates an exporter to the `metrics` address of the settings, with the prefix
     /// `pollenfall.<daemon>`.
-    pub fn new(settings: &DaemonSettings) -> io::Result<Self> {
+    pub fn new(settings: &DaemonSettings, clients: [Arc<ClientCounters>; 2]) -> io::Result<Self> {
+        let clients = clients
+            .map(|counters| ClientExport { counters, previous: [0; ClientCause::ALL.len()] });
         let client = match settings.metrics {
             None => None,
             Some(address) => {
@@ -32,7 +43,8 @@
                 Some(StatsdClient::from_sink(&format!("pollenfall.{}", settings.daemon), sink))
             }
         };
-        Ok(Self { client, previous: DaemonCounters::default(), next_export: Instant::now() })
+        let (previous, next_export) = (DaemonCounters::default(), Instant::now());
+        Ok(Self { client, previous, next_export, clients })
     }
 
     /// Exports the changes since the last export, at most once per [`EXPORT_INTERVAL`].
@@ -65,8 +77,26 @@
             let _ = client
                 .count(&format!("service_ms.{team}"), service_ms.saturating_sub(before) as i64);
         }
+        for export in &mut self.clients {
+            export.send(client);
+        }
         let _ = client.gauge("open_calls", open_calls as u64);
         let _ = client.gauge("last_rollout_ms", current.last_rollout_ms);
         self.previous = current.clone();
     }
 }
+
+impl ClientExport {
+    /// Exports the refusals since the last export by cause, and what the connections hold.
+    fn send(&mut self, client: &StatsdClient) {
+        let address = self.counters.address().label();
+        for (cause, previous) in ClientCause::ALL.into_iter().zip(&mut self.previous) {
+            let count = self.counters.count(cause);
+            let name = format!("refused_clients.{address}.{}", cause.label());
+            let _ = client.count(&name, count.saturating_sub(*previous) as i64);
+            *previous = count;
+        }
+        let _ = client.gauge(&format!("client_connections.{address}"), self.counters.connections());
+        let _ = client.gauge(&format!("client_bytes.{address}"), self.counters.memory_bytes());
+    }
+}
--- a/crates/daemon/src/request_threads.rs
+++ b/crates/daemon/src/request_threads.rs
@@ -4,7 +4,7 @@
 //! and follows the replies of the state machine. A thread has its own channel for replies,
 //! and the thread's number is the request's reply token.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -21,16 +21,23 @@
 use state::{
     DaemonSettings, IdempotencyKey, KeyText, Millis, OperatorKey, PoolId, RequestId, StoredAnswer,
 };
-use tiny_http::{Header, Request, Response};
-use transport::{HttpError, HttpRequest, HttpResponse, HttpServer, read_body, send_http};
+use transport::{
+    HttpError, HttpRequest, HttpResponse, HttpServer, IncomingRequest, OutgoingResponse,
+    Refusal as ServerRefusal, send_http,
+};
 
 use crate::channels::{ChannelReceivers, RequestReply};
 use crate::core_host::CoreHost;
+use crate::line_budget::LineBudget;
 
 /// Stack size of a request thread, in bytes.
 const THREAD_STACK_BYTES: usize = 256 << 10;
 /// Maximum body length of an answer that is stored for a repeated request, in bytes.
 const MAX_STORED_ANSWER_BYTES: usize = 1_024;
+/// Maximum number of log lines about refused requests.
+const MAX_REFUSAL_LINES_PER_SECOND: u32 = 100;
+/// Delay after which a caller that found the server full should try again.
+const FULL_RETRY_DELAY: Millis = Millis(1_000);
 const CALL_PREFIX: &str = "/call/";
 const CONTROL_PREFIX: &str = "/control/";
 
@@ -89,21 +96,12 @@
 }
 
 impl RequestThread {
-    fn handle_request(&self, mut request: Request) {
-        let body = match read_body(&mut request) {
-            Ok(body) => body,
-            Err(fault) => {
-                return send_daemon_answer(
-                    request,
-                    build_refusal(fault.status(), &fault.to_string()),
-                );
-            }
-        };
+    fn handle_request(&self, request: IncomingRequest) {
         let url = request.url().to_owned();
         if let Some(request_target) = url.strip_prefix(CALL_PREFIX) {
-            self.handle_call(request, request_target, &body);
+            self.handle_call(request, request_target);
         } else if let Some(request_target) = url.strip_prefix(CONTROL_PREFIX) {
-            self.handle_control(request, request_target, &body);
+            self.handle_control(request, request_target);
         } else if url == "/health" {
             send_daemon_answer(
                 request,
@@ -115,17 +113,17 @@
         }
     }
 
-    fn handle_call(&self, request: Request, request_target: &str, body: &[u8]) {
+    fn handle_call(&self, request: IncomingRequest, request_target: &str) {
         let parsed_call = match parse_call(&request, request_target, self.token) {
             Ok(parsed_call) => parsed_call,
             Err(answer) => return send_daemon_answer(request, answer),
         };
         self.host.post(Event::Call(parsed_call.arrival));
-        self.follow_directives(request, &parsed_call.path, body);
+        self.follow_directives(request, &parsed_call.path);
     }
 
     /// Carries out the directives of the state machine until the caller has an answer.
-    fn follow_directives(&self, request: Request, path: &str, body: &[u8]) {
+    fn follow_directives(&self, request: IncomingRequest, path: &str) {
         loop {
             let Ok(RequestReply::Directive(directive)) = self.replies.recv() else {
                 let unknown_outcome = OutcomeBody {
@@ -143,15 +141,8 @@
                     request: request_id, address, remaining: time_left, ..
                 } => {
                     let decided_at = Instant::now();
-                    match send_attempt(
-                        &request,
-                        &request_id,
-                        &address,
-                        time_left,
-                        path,
-                        body,
-                        decided_at,
-                    ) {
+                    match send_attempt(&request, &request_id, &address, time_left, path, decided_at)
+                    {
                         Ok(answer) => {
                             let attempt_outcome = build_answered_outcome(&answer);
                             forward_answer(request, &request_id, answer);
@@ -174,14 +165,14 @@
         self.host.post(Event::CallEnded { token: self.token, outcome: attempt_outcome });
     }
 
-    fn handle_control(&self, request: Request, request_target: &str, body: &[u8]) {
+    fn handle_control(&self, request: IncomingRequest, request_target: &str) {
         let key = match parse_bearer_key(&request) {
             Ok(key) => key,
             Err(answer) => return send_daemon_answer(request, answer),
         };
         let path = request_target.split('?').next().unwrap_or(request_target);
         let control_call =
-            decode_control_request(request.method().as_str(), path, body, key.clone());
+            decode_control_request(request.method(), path, request.body(), key.clone());
         let control_call = match control_call {
             Ok(control_call) => control_call,
             Err(error) => {
@@ -200,12 +191,13 @@
         let Ok(RequestReply::Control(answer)) = self.replies.recv() else { return };
         let reply = encode_control_answer(&answer);
         let text = format!("{}\n", reply.body);
-        send_response(request, reply.status, "application/json", &[], text.into_bytes());
+        let response = build_response(reply.status, "application/json", &[], text.into_bytes());
+        request.respond(response);
     }
 }
 
 fn parse_call(
-    request: &Request,
+    request: &IncomingRequest,
     request_target: &str,
     token: ReplyToken,
 ) -> Result<ParsedCall, DaemonAnswer> {
@@ -220,7 +212,7 @@
     let idempotency_key: Option<IdempotencyKey> = idempotency_key
         .transpose()
         .map_err(|error| build_refusal(400, &format!("{HEADER_IDEMPOTENCY}: {error}")))?;
-    let method = request.method().as_str();
+    let method = request.method();
     let arrival = CallArrival {
         token,
         key: parse_bearer_key(request)?,
@@ -232,12 +224,11 @@
     Ok(ParsedCall { arrival, path: format!("/{path}") })
 }
 
-fn find_header<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
-    let matching_header = request.headers().iter().find(|header| header.field.equiv(name));
-    matching_header.map(|header| header.value.as_str())
+fn find_header<'a>(request: &'a IncomingRequest, name: &'static str) -> Option<&'a str> {
+    request.header(name)
 }
 
-fn parse_bearer_key(request: &Request) -> Result<Option<KeyText>, DaemonAnswer> {
+fn parse_bearer_key(request: &IncomingRequest) -> Result<Option<KeyText>, DaemonAnswer> {
     let Some(value) = find_header(request, "Authorization") else { return Ok(None) };
     let text = value.strip_prefix("Bearer ");
     let text = text.ok_or_else(|| build_refusal(401, "Authorization must be \"Bearer <key>\""))?;
@@ -252,12 +243,11 @@
 /// [`MAX_DECISION_AGE`], because the process may have been suspended since; the state machine
 /// then decides again.
 fn send_attempt(
-    request: &Request,
+    request: &IncomingRequest,
     request_id: &RequestId,
     address: &str,
     time_left: Millis,
     path: &str,
-    body: &[u8],
     decided_at: Instant,
 ) -> Result<HttpResponse, AttemptOutcome> {
     let time_left_text = time_left.0.to_string();
@@ -271,11 +261,11 @@
         return Err(AttemptOutcome::Stale);
     }
     let answer = send_http(&HttpRequest {
-        method: request.method().as_str(),
+        method: request.method(),
         address,
         path,
         headers: &headers,
-        body,
+        body: request.body(),
         timeout: Duration::from_millis(time_left.0.max(1)),
     });
     match answer {
@@ -312,15 +302,15 @@
     AttemptOutcome::Answered { status: answer.status, stored_answer }
 }
 
-fn forward_answer(request: Request, request_id: &RequestId, answer: HttpResponse) {
+fn forward_answer(request: IncomingRequest, request_id: &RequestId, answer: HttpResponse) {
     let headers = [(HEADER_OUTCOME, Outcome::Done.as_str()), (HEADER_REQUEST, request_id.as_str())];
-    send_response(request, answer.status, &answer.content_type, &headers, answer.body);
+    request.respond(build_response(answer.status, &answer.content_type, &headers, answer.body));
 }
 
-fn send_stored_answer(request: Request, stored: &StoredAnswer) {
+fn send_stored_answer(request: IncomingRequest, stored: &StoredAnswer) {
     let headers = [(HEADER_OUTCOME, Outcome::Done.as_str())];
     let body = stored.body.as_bytes().to_vec();
-    send_response(request, stored.status, &stored.content_type, &headers, body);
+    request.respond(build_response(stored.status, &stored.content_type, &headers, body));
 }
 
 fn build_done_body(reason: &str) -> OutcomeBody {
@@ -333,35 +323,51 @@
     DaemonAnswer { status, body: OutcomeBody::not_run(&refusal) }
 }
 
-fn send_daemon_answer(request: Request, answer: DaemonAnswer) {
+/// Builds the response to a request that the server has refused, so that it has not run.
+pub fn build_server_refusal(refusal: ServerRefusal) -> OutgoingResponse {
+    let mut answer = build_refusal(refusal.status, refusal.reason);
+    if refusal.status == 503 {
+        answer.body.retry_after_ms = Some(FULL_RETRY_DELAY);
+    }
+    build_daemon_response(&answer)
+}
+
+fn send_daemon_answer(request: IncomingRequest, answer: DaemonAnswer) {
+    if answer.status >= 400 && answer.status != 429 {
+        log_refusal(&answer);
+    }
+    request.respond(build_daemon_response(&answer));
+}
+
+/// Logs a refusal; its reason may contain the path that the caller has sent.
+fn log_refusal(answer: &DaemonAnswer) {
+    static BUDGET: Mutex<Option<LineBudget>> = Mutex::new(None);
+    let mut budget = BUDGET.lock().unwrap_or_else(PoisonError::into_inner);
+    let budget = budget.get_or_insert_with(|| LineBudget::new(MAX_REFUSAL_LINES_PER_SECOND));
+    if budget.try_take_line() {
+        tracing::info!(status = answer.status, reason = &*answer.body.reason, "refused");
+    }
+}
+
+fn build_daemon_response(answer: &DaemonAnswer) -> OutgoingResponse {
     let mut headers = vec![(HEADER_OUTCOME, answer.body.outcome.as_str())];
     let retry_after_s = answer.body.retry_after_ms.map(|delay| delay.0.div_ceil(1_000).to_string());
     if let Some(seconds) = &retry_after_s {
         headers.push(("Retry-After", seconds));
     }
-    if answer.status >= 400 && answer.status != 429 {
-        tracing::info!(status = answer.status, reason = &*answer.body.reason, "refused");
-    }
     let text = serde_json::to_vec(&answer.body).expect("an outcome is valid JSON");
-    send_response(request, answer.status, "application/json", &headers, text);
+    build_response(answer.status, "application/json", &headers, text)
 }
 
-fn send_response(
-    request: Request,
+fn build_response(
     status: u16,
     content_type: &str,
     headers: &[(&str, &str)],
     body: Vec<u8>,
-) {
-    let mut response =
-        Response::from_data(body).with_status_code(status).with_chunked_threshold(usize::MAX);
+) -> OutgoingResponse {
     let content_type = ("Content-Type", content_type);
-    for (name, value) in headers.iter().chain([&content_type]) {
-        if let Ok(header) = Header::from_bytes(name.as_bytes(), value.as_bytes()) {
-            response.add_header(header);
-        }
-    }
-    if let Err(error) = request.respond(response) {
-        tracing::debug!(%error, "answer not sent: the caller closed the connection");
-    }
+    let headers = headers.iter().chain([&content_type]);
+    headers.fold(OutgoingResponse::new(status, body), |response, (name, value)| {
+        response.with_header(name, value)
+    })
 }
--- a/crates/daemon/src/runtime/decision_log.rs
+++ b/crates/daemon/src/runtime/decision_log.rs
@@ -4,15 +4,18 @@
 //! [`MAX_LINES_PER_SECOND`] lines per second and reports how many lines it dropped.
 
 use std::io;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crossbeam::channel::{Sender, bounded};
 use fleet::DecisionLine;
 
+use crate::line_budget::LineBudget;
+
 /// Maximum number of lines that wait for the log thread.
 const CHANNEL_CAPACITY: usize = 2_048;
 const MAX_LINES_PER_SECOND: u32 = 600;
-const BUDGET_PERIOD: Duration = Duration::from_secs(1);
+/// Maximum length of an id; the paths of requests are not bounded otherwise.
+const MAX_ID_BYTES: usize = 256;
 /// Time for the log thread to write the last lines before the process ends.
 const FLUSH_DELAY: Duration = Duration::from_millis(30);
 
@@ -30,7 +33,7 @@
         .init();
     let (sender, receiver) = bounded::<DecisionLine>(CHANNEL_CAPACITY);
     std::thread::Builder::new().name("log".into()).spawn(move || {
-        let mut budget = LineBudget::new();
+        let mut budget = LineBudget::new(MAX_LINES_PER_SECOND);
         for line in receiver {
             if budget.try_take_line() {
                 write_line(&line);
@@ -45,6 +48,16 @@
     std::thread::sleep(FLUSH_DELAY);
 }
 
+/// Shortens the name of a request, which its client chooses, to [`MAX_ID_BYTES`].
+pub fn shorten_id(line: DecisionLine) -> DecisionLine {
+    if line.id.len() <= MAX_ID_BYTES {
+        return line;
+    }
+    let end = (0..=MAX_ID_BYTES).rev().find(|end| line.id.is_char_boundary(*end)).unwrap_or(0);
+    let id = line.id[..end].into();
+    DecisionLine { id, ..line }
+}
+
 fn write_line(line: &DecisionLine) {
     tracing::info!(
         decision = line.decision,
@@ -53,37 +66,3 @@
         outcome = &*line.outcome
     );
 }
-
-/// Rate limit on lines, counted per [`BUDGET_PERIOD`].
-struct LineBudget {
-    period_start: Instant,
-    remaining: u32,
-    /// Number of lines over the limit in this period.
-    dropped: u64,
-}
-
-impl LineBudget {
-    fn new() -> Self {
-        Self { period_start: Instant::now(), remaining: MAX_LINES_PER_SECOND, dropped: 0 }
-    }
-
-    /// Returns whether another line may be written in this period; if not, counts the line as
-    /// dropped.
-    fn try_take_line(&mut self) -> bool {
-        if self.period_start.elapsed() >= BUDGET_PERIOD {
-            if self.dropped > 0 {
-                tracing::warn!(
-                    dropped = self.dropped,
-                    "decision lines over the rate limit were dropped"
-                );
-            }
-            *self = Self::new();
-        }
-        if self.remaining == 0 {
-            self.dropped += 1;
-            return false;
-        }
-        self.remaining -= 1;
-        true
-    }
-}
--- a/crates/daemon/src/runtime/host.rs
+++ b/crates/daemon/src/runtime/host.rs
@@ -15,20 +15,20 @@
 use fleet::{CallId, ClientAnswer, Clock, DecisionLine, Effect, Event, FleetCore, ReplyToken};
 use platform::{PlatformSettings, VmListAnswer};
 use state::Moment;
-use tiny_http::Request;
-use transport::CallSender;
+use transport::{CallSender, IncomingRequest};
 
+use super::decision_log::shorten_id;
 use super::delay::StepTotals;
 use super::load_report::LoadReport;
 use super::metrics::{MetricsRegistry, event_label};
 use super::priority_lock::{LockPriority, PriorityLock};
 
 /// Writes an answer to a request in the caller's protocol.
-pub type AnswerWriter = fn(Request, &ClientAnswer);
+pub type AnswerWriter = fn(IncomingRequest, &ClientAnswer);
 
 /// Request of a submitter that waits for its answer.
 struct PendingRequest {
-    request: Request,
+    request: IncomingRequest,
     write_answer: AnswerWriter,
     received_at: Moment,
 }
@@ -103,7 +103,7 @@
     pub fn register_request(
         &self,
         token: ReplyToken,
-        request: Request,
+        request: IncomingRequest,
         write_answer: AnswerWriter,
     ) {
         let pending = PendingRequest { request, write_answer, received_at: read_clock() };
@@ -120,6 +120,14 @@
         }
     }
 
+    /// Counts a decision and queues its line for the log thread.
+    pub fn log(&self, line: DecisionLine) {
+        self.metrics.record_decision(&line);
+        if self.decision_lines.try_send(shorten_id(line)).is_err() {
+            self.metrics.dropped_lines.inc();
+        }
+    }
+
     /// Steps the state machine by one event and applies the effects.
     ///
     /// Calls are sent while the lock is held, so that orders to a minion keep their sequence;
@@ -179,12 +187,7 @@
                 self.send_minion_order(call, &target, fencing_token, order);
             }
             Effect::Cloud(call, request) => self.send_cloud_call(call, request, None, Vec::new()),
-            Effect::Log(line) => {
-                self.metrics.record_decision(&line);
-                if self.decision_lines.try_send(line).is_err() {
-                    self.metrics.dropped_lines.inc();
-                }
-            }
+            Effect::Log(line) => self.log(line),
             Effect::Measure(measurement) => {
                 self.metrics.record_measurement(measurement);
                 self.load_report.add_measurement(measurement);
--- a/crates/daemon/src/runtime/metrics.rs
+++ b/crates/daemon/src/runtime/metrics.rs
@@ -5,6 +5,7 @@
 
 use std::fmt::Write;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use fleet::io::{MinionAnswer, MinionCall, StoreAnswer, StoreCall};
@@ -17,6 +18,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Metric, Registry};
 use state::Millis;
+use transport::{ClientCause, ClientCounters};
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct KindLabel {
@@ -29,6 +31,17 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AddressLabel {
+    address: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    address: &'static str,
+    cause: &'static str,
+}
+
 type HistogramFamily = Family<KindLabel, Histogram, fn() -> Histogram>;
 
 /// Creates a histogram whose bucket bounds double from 1 ms to 4 s.
@@ -70,6 +83,11 @@
     save_answer_seconds: Histogram,
     event_wait_seconds: Histogram,
     decisions: Family<KindLabel, Counter>,
+    refused_clients: Family<CauseLabels, Counter>,
+    client_connections: Family<AddressLabel, Gauge>,
+    client_bytes: Family<AddressLabel, Gauge>,
+    /// Counters of the listening addresses, from which the three metrics above are updated.
+    client_counters: Mutex<Vec<Arc<ClientCounters>>>,
     /// Decision lines dropped because the log channel was full.
     pub dropped_lines: Counter,
 }
@@ -170,6 +188,25 @@
                 seconds(),
             ),
             decisions: register(own, "decisions", "Decisions, as logged", Family::default()),
+            refused_clients: register(
+                own,
+                "refused_clients",
+                "Refused requests and closed connections, by listening address and cause",
+                Family::default(),
+            ),
+            client_connections: register(
+                own,
+                "client_connections",
+                "Open connections of clients",
+                Family::default(),
+            ),
+            client_bytes: register(
+                own,
+                "client_bytes",
+                "Memory of the clients' connections as the limits count it",
+                Family::default(),
+            ),
+            client_counters: Mutex::default(),
             dropped_lines: register(
                 own,
                 "dropped_lines",
@@ -189,6 +226,7 @@
     /// Returns all metrics in the Prometheus text format, or a comment with the error if encoding
     /// fails.
     pub fn encode_text(&self) -> String {
+        self.update_client_metrics();
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             text.clear();
@@ -197,6 +235,27 @@
         text
     }
 
+    /// Exports the counters of one more listening address.
+    pub fn add_client_counters(&self, counters: &Arc<ClientCounters>) {
+        let mut all = self.client_counters.lock().unwrap_or_else(PoisonError::into_inner);
+        all.push(Arc::clone(counters));
+    }
+
+    fn update_client_metrics(&self) {
+        let all = self.client_counters.lock().unwrap_or_else(PoisonError::into_inner);
+        for counters in all.iter() {
+            let address = counters.address().label();
+            let label = AddressLabel { address };
+            self.client_connections.get_or_create(&label).set(counters.connections() as i64);
+            self.client_bytes.get_or_create(&label).set(counters.memory_bytes() as i64);
+            for cause in ClientCause::ALL {
+                let labels = CauseLabels { address, cause: cause.label() };
+                let counter = self.refused_clients.get_or_create(&labels);
+                counter.inc_by(counters.count(cause).saturating_sub(counter.get()));
+            }
+        }
+    }
+
     pub fn record_answer(&self, answer: &ClientAnswer, duration: Millis) {
         let outcome = answer_label(answer);
         self.answers.get_or_create(&OutcomeLabels { kind: "submitter", outcome }).inc();
--- a/crates/daemon/tests/untrusted_clients.rs
+++ b/crates/daemon/tests/untrusted_clients.rs
@@ -21,10 +21,6 @@
 const MAX_DESCRIPTORS: usize = 400;
 const LIMITS: &str = "Limits.MemoryMb=96\nLimits.MaxFds=400";
 
-/// Memory that the daemon may use in product mode without settings for it: what it gives to
-/// clients, and as much as on the platform for the rest.
-const PRODUCT_MEMORY_MIB: u64 = 96;
-
 /// Clients that send without end, and what each sends at most: together more than the VM has.
 const SENDERS: usize = 8;
 const ENDLESS_BYTES: usize = 24 << 20;
@@ -62,22 +58,22 @@
     send_ordinary_request(daemon.address(SUBMITTERS), SUBMISSION, NOT_RUN);
     send_ordinary_request(daemon.address(READINESS), READINESS_PROBE, NOT_READY);
     send_ordinary_request(daemon.address(INTERNAL), METRICS, "pollenfall_");
-    check_resources(&mut daemon, MEMORY_MIB, MAX_DESCRIPTORS);
+    check_resources(&mut daemon);
     drop(crowd);
 }
 
 fn check_product_daemon(mut daemon: TestDaemon, crowd: Crowd) {
     send_ordinary_request(daemon.address(CALLERS), HEALTH, "alive");
-    check_resources(&mut daemon, PRODUCT_MEMORY_MIB, MAX_DESCRIPTORS);
+    check_resources(&mut daemon);
     drop(crowd);
 }
 
-fn check_resources(daemon: &mut TestDaemon, memory_mib: u64, descriptors: usize) {
+fn check_resources(daemon: &mut TestDaemon) {
     assert!(daemon.is_alive(), "the daemon has ended");
     let (peak_kib, open) = (daemon.peak_memory_kib(), daemon.count_descriptors());
     eprintln!("peak of the memory {peak_kib} KiB, {open} open descriptors");
-    assert!(peak_kib <= memory_mib << 10, "{peak_kib} KiB, allowed are {memory_mib} MiB");
-    assert!(open <= descriptors, "{open} open descriptors, allowed are {descriptors}");
+    assert!(peak_kib <= MEMORY_MIB << 10, "{peak_kib} KiB, allowed are {MEMORY_MIB} MiB");
+    assert!(open <= MAX_DESCRIPTORS, "{open} open descriptors, allowed are {MAX_DESCRIPTORS}");
 }
 
 /// Case (a): heads over the limit, heads without an end, endless empty lines.
--- a/crates/daemon/tests/untrusted_clients/process.rs
+++ b/crates/daemon/tests/untrusted_clients/process.rs
@@ -54,7 +54,7 @@
         Self::spawn(command, directory, ports[..3].to_vec(), turn)
     }
 
-    /// Starts `pollenfalld --settings` without a platform. Its addresses are `listen` and
+    /// Starts `pollenfalld --settings` without a platform, on a VM of 96 MB. Its addresses are `listen` and
     /// `peer_listen`.
     pub fn start_product() -> Self {
         let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
@@ -62,7 +62,8 @@
         let operator_key = format!("{}:{}", "0".repeat(32), "0".repeat(64));
         let settings = format!(
             r#"{{ "daemon": "entry-1", "vm": "vm-1", "data_centre": "a", "listen": "{}",
-                "peer_listen": "{}", "platform": "{}", "operator_key": "{operator_key}" }}"#,
+                "peer_listen": "{}", "platform": "{}", "operator_key": "{operator_key}",
+                "vm_memory_mb": 96, "vm_descriptors": 400 }}"#,
             ports[0], ports[1], ports[2],
         );
         let directory = create_directory();
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -21,7 +21,7 @@
     HEADER_DEADLINE, HEADER_IDEMPOTENCY, HEADER_OUTCOME, HEADER_REQUEST, Outcome, OutcomeBody,
     encode_outcome,
 };
-pub use peer::{FrameError, decode_frame, encode_frame};
+pub use peer::{FrameError, MAX_FRAME_BYTES, decode_frame, encode_frame};
 pub use platform::{
     ChangesBody, PlatformCall, PutBody, RebootBody, VmsBody, decode_platform_answer,
     encode_platform_request,
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -6,7 +6,7 @@
 
 /// Maximum size of a frame in bytes. The largest part of a frame is a configuration, which
 /// has at most a megabyte.
-const MAX_FRAME_BYTES: usize = 2 << 20;
+pub const MAX_FRAME_BYTES: usize = 2 << 20;
 
 /// Error that describes why bytes are not a frame.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/transport/src/server.rs
+++ b/crates/standins/src/http_server.rs
@@ -1,4 +1,5 @@
-//! HTTP server with a limit on the size of request bodies.
+//! HTTP server of the stand-ins, whose clients are trusted, with a limit on the size of request
+//! bodies.
 
 use std::fmt;
 use std::io::Read;
@@ -10,7 +11,7 @@
 const MAX_BODY_BYTES: usize = 1 << 20;
 
 /// Listening HTTP server; any number of threads may receive requests from it.
-pub struct HttpServer {
+pub(crate) struct HttpServer {
     server: Server,
 }
 
@@ -20,27 +21,21 @@
     /// # Errors
     ///
     /// Returns the error message if `address` cannot be bound.
-    pub fn listen(address: SocketAddr) -> Result<Self, Box<str>> {
+    pub(crate) fn listen(address: SocketAddr) -> Result<Self, Box<str>> {
         let server = Server::http(address);
         let server = server.map_err(|error| format!("cannot listen on {address}: {error}"))?;
         Ok(Self { server })
     }
 
-    /// Waits for the next request; returns `None` after [`Self::close`] or if the server
-    /// fails.
-    pub fn receive(&self) -> Option<Request> {
+    /// Waits for the next request; returns `None` if the server fails.
+    pub(crate) fn receive(&self) -> Option<Request> {
         self.server.recv().ok()
     }
-
-    /// Makes [`Self::receive`] return `None` in one waiting thread.
-    pub fn close(&self) {
-        self.server.unblock();
-    }
 }
 
 /// Reason why a request body was rejected.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum BodyError {
+pub(crate) enum BodyError {
     /// The body is larger than 1 MiB.
     TooLarge,
     /// The body ended before its declared length.
@@ -66,23 +61,12 @@
     }
 }
 
-impl BodyError {
-    /// Returns the HTTP status code for the rejected request: 413 if the body is too
-    /// large, otherwise 400.
-    pub fn status(&self) -> u16 {
-        match self {
-            Self::TooLarge => 413,
-            _ => 400,
-        }
-    }
-}
-
 /// Reads the complete body of `request`.
 ///
 /// # Errors
 ///
 /// Returns a [`BodyError`] if the body is too large, truncated or unreadable.
-pub fn read_body(request: &mut Request) -> Result<Vec<u8>, BodyError> {
+pub(crate) fn read_body(request: &mut Request) -> Result<Vec<u8>, BodyError> {
     let declared_length = request.body_length();
     if declared_length.is_some_and(|length| length > MAX_BODY_BYTES) {
         return Err(BodyError::TooLarge);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 //! `/standin/report` the counts of the requests and events that they observed,
 //! so that a test can compare the counts with the expected ones.
 
+mod http_server;
 mod load;
 mod minion;
 mod platform;
--- a/crates/standins/src/minion.rs
+++ b/crates/standins/src/minion.rs
@@ -14,8 +14,8 @@
 use protocol::HEADER_REQUEST;
 use serde::{Deserialize, Serialize};
 use tiny_http::Request;
-use transport::read_body;
 
+use crate::http_server::read_body;
 use crate::serve::{find_header, query_number, send_json, send_response, serve_requests};
 
 /// Settings of a minion's stand-in.
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -18,8 +18,9 @@
 use serde::{Deserialize, Serialize};
 use state::{Revision, VmId, VmListing, VmPresence};
 use tiny_http::Request;
-use transport::{HttpRequest, read_body, send_http};
+use transport::{HttpRequest, send_http};
 
+use crate::http_server::read_body;
 use crate::serve::{query_number, send_json, serve_requests};
 
 /// Settings of the platform's stand-in.
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -7,8 +7,9 @@
 use eyre::Result;
 use protocol::HEADER_REQUEST;
 use tiny_http::Request;
-use transport::{HttpRequest, read_body, send_http};
+use transport::{HttpRequest, send_http};
 
+use crate::http_server::read_body;
 use crate::serve::{send_json, send_response, serve_requests};
 
 /// Runs a relay that forwards every request to the minion at the IP address and
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -8,7 +8,8 @@
 use eyre::{Result, eyre};
 use serde::Serialize;
 use tiny_http::{Header, Request, Response};
-use transport::HttpServer;
+
+use crate::http_server::HttpServer;
 
 /// Maximum number of requests that a stand-in handles concurrently.
 const SERVER_THREADS: usize = 96;
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -16,8 +16,8 @@
 use serde::Serialize;
 use state::{Cores, JobId, JobSpec, Mebibytes};
 use tiny_http::Request;
-use transport::read_body;
 
+use crate::http_server::read_body;
 use crate::serve::{send_json, serve_requests};
 
 /// Maximum age of a lease at the start of a task.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -11,6 +11,7 @@
 mod connections;
 mod http;
 mod peer;
+mod peer_listener;
 mod platform;
 mod server;
 mod timeout;
@@ -20,6 +21,9 @@
 pub use http::{HttpError, HttpRequest, HttpResponse, send_http};
 pub use peer::{PeerSender, PeerSettings, start_peer_thread};
 pub use platform::call_platform;
-pub use server::{BodyError, HttpServer, read_body};
+pub use server::{
+    ClientCause, ClientCounters, HttpServer, IncomingRequest, OutgoingResponse, Refusal,
+    RefusalWriter,
+};
 pub use timeout::{StallMeter, TimedOut, wait_with_timeout};
 pub use worker::call_worker;
--- a/crates/transport/src/peer.rs
+++ b/crates/transport/src/peer.rs
@@ -9,31 +9,38 @@
 //! full, a frame is therefore dropped instead of waiting for free capacity.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use coordination::Frame;
-use crossbeam::channel::{Receiver, Sender, TrySendError};
-use futures_util::{SinkExt, StreamExt};
-use protocol::{decode_frame, encode_frame};
-use state::DaemonId;
+use crossbeam::channel::{Receiver, Sender};
+use futures_util::SinkExt;
+use protocol::encode_frame;
+use state::{AddressLimits, DaemonId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
+use tokio_tungstenite::client_async;
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::{accept_async, client_async};
+
+use crate::peer_listener::accept_connections;
+use crate::server::ClientCounters;
+use crate::server::listener::bind;
 
 /// Maximum number of frames that wait to be sent to one peer.
 const PEER_CHANNEL_CAPACITY: usize = 32;
 /// Maximum number of frames that wait to be dispatched to a peer.
 const OUTGOING_CHANNEL_CAPACITY: usize = 1_024;
 /// Timeout for each of TCP connect, WebSocket handshake and sending one frame.
-const IO_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Delay before a failed connection is opened again or another one is accepted.
+pub(crate) const IO_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Delay before a failed connection is opened again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Time without a frame after which a connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Encoded frame with its recipient.
 struct OutgoingFrame {
@@ -66,6 +73,10 @@
     pub listen_address: SocketAddr,
     /// Bounded channel that receives the decoded frames of all peers.
     pub incoming_frames: Sender<Box<Frame>>,
+    /// Limits on the incoming connections; their timeouts are those of this module.
+    pub limits: AddressLimits,
+    /// Counters of refused peers.
+    pub counters: Arc<ClientCounters>,
 }
 
 /// Starts the peer thread and waits until the thread listens.
@@ -104,14 +115,11 @@
             return;
         }
     };
-    runtime.block_on(async {
-        match TcpListener::bind(settings.listen_address).await {
+    LocalSet::new().block_on(&runtime, async {
+        match listen(settings.listen_address) {
             Ok(listener) => {
                 let _ = start_sender.send(Ok(()));
-                tokio::join!(
-                    accept_connections(listener, settings.incoming_frames),
-                    dispatch_frames(frames)
-                );
+                tokio::join!(accept_connections(listener, settings), dispatch_frames(frames));
             }
             Err(error) => {
                 let reason = format!("cannot listen on {}: {error}", settings.listen_address);
@@ -121,43 +129,8 @@
     });
 }
 
-async fn accept_connections(listener: TcpListener, incoming: Sender<Box<Frame>>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(read_frames(stream, incoming.clone()));
-            }
-            Err(error) => {
-                tracing::warn!(%error, "cannot accept a peer connection; retrying after a delay");
-                sleep(RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-/// Accepts one WebSocket handshake and forwards the decoded frames until the connection
-/// fails, is idle or carries a malformed frame.
-async fn read_frames(stream: TcpStream, incoming: Sender<Box<Frame>>) {
-    let _ = stream.set_nodelay(true);
-    let Ok(Ok(mut connection)) = timeout(IO_TIMEOUT, accept_async(stream)).await else { return };
-    while let Ok(Some(Ok(message))) = timeout(IDLE_TIMEOUT, connection.next()).await {
-        let Message::Binary(bytes) = message else { continue };
-        match decode_frame(&bytes) {
-            Ok(frame) => match incoming.try_send(Box::new(frame)) {
-                Ok(()) => {}
-                Err(TrySendError::Full(_)) => {
-                    tracing::warn!(
-                        "dropped an incoming frame: the channel of incoming frames is full"
-                    )
-                }
-                Err(TrySendError::Disconnected(_)) => return,
-            },
-            Err(error) => {
-                tracing::warn!(%error, "cannot decode a frame; closing the peer connection");
-                return;
-            }
-        }
-    }
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::from_std(bind(address)?)
 }
 
 /// Queues each outgoing frame for the writer of its address; starts a writer if the
