Bounds on what the parsers of jobs need for a body

Cause: the parser of JSON with comments recurses for each bracket, so that a body of 900,000 bytes on the internal address exhausted the stack of its thread and ended the process. A body of 1 MB of unknown fields or of small steps took 75 to 79 MiB once decoded, in each reader thread: serde keeps the unknown fields beside a flattened struct, and steps were counted after decoding.

Change: texts nested more than 128 levels deep are refused before they are parsed, here and in the operators' lists and settings. The tests of dense bodies wait for the answers, so that the peak includes the decoding (before, they could be checked too early).

--- a/crates/daemon/tests/untrusted_clients.rs
+++ b/crates/daemon/tests/untrusted_clients.rs
@@ -11,7 +11,8 @@
 mod process;
 
 use crowd::{
-    Crowd, fall_silent_after, send_frame_parts, send_ordinary_request, send_without_reading,
+    Crowd, fall_silent_after, send_and_fall_silent, send_frame_parts, send_ordinary_request,
+    send_without_reading,
 };
 use process::TestDaemon;
 use rstest::rstest;
@@ -146,20 +147,28 @@
     let daemon = TestDaemon::start_on_platform(LIMITS, None);
     let body = part.repeat(NESTED_BODY_BYTES / part.len());
     let request = format!("{line} HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-    let crowd = fall_silent_after(daemon.address(address), 1, request.as_bytes());
+    let crowd = send_and_fall_silent(daemon.address(address), 1, request.as_bytes());
     check_platform_daemon(daemon, crowd);
 }
 
 /// A body whose values take many times its length in memory once they are decoded.
 #[rstest]
-#[case::steps("{\"Spec\":\"\",\"Steps\":[", "{},")]
-#[case::unknown_fields("{\"Spec\":\"\",\"Steps\":[{\"a\":[", "0,")]
-fn dense_bodies_stay_within_the_memory(#[case] start: &str, #[case] part: &str) {
+#[case::steps(SUBMITTERS, "POST /queue/", r#"{"Spec":"","Steps":["#, "{},", "{}]}")]
+#[case::fields(SUBMITTERS, "POST /queue/", r#"{"Spec":"","Steps":[{"a":["#, "0,", "0]}]}")]
+#[case::queue(INTERNAL, "PUT /queues/a/b", r#"{"payload":"","steps":["#, r#"{"tasks":1},"#, "{}]}")]
+#[case::queue_values(INTERNAL, "PUT /queues/a/b", "[", "0,", "0]")]
+fn dense_bodies_stay_within_the_memory(
+    #[case] address: usize,
+    #[case] line: &str,
+    #[case] start: &str,
+    #[case] part: &str,
+    #[case] end: &str,
+) {
     let daemon = TestDaemon::start_on_platform(LIMITS, None);
-    let body = format!("{start}{}", part.repeat(DENSE_BODY_BYTES / part.len()));
-    let head = format!("POST /queue/ HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len());
+    let body = format!("{start}{}{end}", part.repeat(DENSE_BODY_BYTES / part.len()));
+    let head = format!("{line} HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len());
     let request = head + &body;
-    let crowd = fall_silent_after(daemon.address(SUBMITTERS), SENDERS, request.as_bytes());
+    let crowd = send_and_fall_silent(daemon.address(address), SENDERS, request.as_bytes());
     check_platform_daemon(daemon, crowd);
 }
 
--- a/crates/daemon/tests/untrusted_clients/crowd.rs
+++ b/crates/daemon/tests/untrusted_clients/crowd.rs
@@ -104,6 +104,19 @@
     Crowd { _connections: (0..clients).filter_map(|index| open(index).ok()).collect() }
 }
 
+/// Sends `request` on `clients` connections one after the other, and waits until each answer
+/// begins or the connection ends, so that the daemon has processed the request.
+pub fn send_and_fall_silent(address: SocketAddr, clients: usize, request: &[u8]) -> Crowd {
+    let send = |_| -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect_timeout(&address, WRITE_TIMEOUT)?;
+        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+        stream.write_all(request)?;
+        stream.read_exact(&mut [0])?;
+        Ok(stream)
+    };
+    Crowd { _connections: (0..clients).filter_map(|index| send(index).ok()).collect() }
+}
+
 /// Sends `request` until an answer contains `expected`; a client that is refused tries again,
 /// as ordinary clients do.
 pub fn send_ordinary_request(address: SocketAddr, request: &str, expected: &str) {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,5 +21,5 @@
 pub use parse::{ParseJobError, parse_job};
 pub use progress::{JobProgress, TaskMark};
 pub use resources::Resources;
-pub use spec::{AcceptedJob, JobGraphError, JobSpec, QueueTerms, StepSpec, Timetable};
+pub use spec::{AcceptedJob, JobGraphError, JobSpec, MAX_STEPS, QueueTerms, StepSpec, Timetable};
 pub use task::{ParseTaskNameError, RunNumber, TaskName};
--- a/crates/jobs/src/parse.rs
+++ b/crates/jobs/src/parse.rs
@@ -5,6 +5,8 @@
 
 use std::fmt;
 
+use state::find_excess_nesting;
+
 use crate::{JobGraphError, JobSpec};
 
 /// Error that describes why a text is not a valid job.
@@ -40,6 +42,9 @@
 /// [`ParseJobError`] of the first check that fails.
 pub fn parse_job(text: &str) -> Result<JobSpec, ParseJobError> {
     let invalid_format = |reason: String| ParseJobError::InvalidFormat(reason.into());
+    if find_excess_nesting(text).is_some() {
+        return Err(invalid_format("the values are nested too deeply".into()));
+    }
     let value = jsonc_parser::parse_to_serde_value(text, &Default::default())
         .map_err(|error| invalid_format(error.to_string()))?
         .ok_or_else(|| invalid_format("the text is empty".into()))?;
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -10,8 +10,9 @@
 
 use crate::{JobProgress, Resources};
 
-/// Bounds the size of stored records and the work of one placement decision.
-const MAX_STEPS: usize = 64;
+/// Maximum number of steps of a job. It bounds the size of stored records and the work of one
+/// placement decision.
+pub const MAX_STEPS: usize = 64;
 const MAX_TASKS_PER_STEP: u32 = 10_000;
 const MAX_TASKS_PER_OCCURRENCE: u64 = 20_000;
 
--- a/crates/protocol/src/queue.rs
+++ b/crates/protocol/src/queue.rs
@@ -6,6 +6,9 @@
 use serde_json::{Value, json};
 use state::Millis;
 
+/// Maximum length of the text of a job. Its parser was seen to need 78 times the length in memory, and
+/// a job of the largest number of steps takes some tens of kilobytes.
+const MAX_JOB_BYTES: usize = 256 << 10;
 /// Timeout of a request; shorter than the timeout of the command-line client.
 const REQUEST_TIMEOUT: Millis = Millis(10_000);
 
@@ -72,6 +75,9 @@
 }
 
 fn parse_job_body(body: &[u8]) -> Result<JobSpec, Box<str>> {
+    if body.len() > MAX_JOB_BYTES {
+        return Err(format!("a job has at most {MAX_JOB_BYTES} bytes").into());
+    }
     let text = std::str::from_utf8(body).map_err(|error| error.to_string())?;
     parse_job(text).map_err(|fault| fault.to_string().into())
 }
--- a/crates/state/src/fault.rs
+++ b/crates/state/src/fault.rs
@@ -11,6 +11,8 @@
 use jsonc_parser::ast;
 use jsonc_parser::common::Ranged;
 
+use crate::find_excess_nesting;
+
 /// Minimum Jaro-Winkler similarity (0 to 1) at which a known field name is suggested for an unknown
 /// one.
 const MIN_SUGGESTION_SIMILARITY: f64 = 0.6;
@@ -74,6 +76,10 @@
 /// Returns the first syntax fault, or a fault if the text contains no value.
 pub fn parse_value(text: &str) -> Result<ParsedValue, SettingFault> {
     let line_index = LineIndex::new(text);
+    if let Some(offset) = find_excess_nesting(text) {
+        let message = "the values are nested too deeply".into();
+        return Err(SettingFault { line: line_index.line_at(offset), message });
+    }
     let parsed = jsonc_parser::parse_to_ast(text, &Default::default(), &Default::default());
     let parsed = parsed.map_err(|error| SettingFault {
         line: line_index.line_at(error.range().start),
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -27,6 +27,7 @@
 mod key;
 mod lists;
 mod member;
+mod nesting;
 mod quantity;
 mod settings;
 mod team;
@@ -48,6 +49,7 @@
 pub use key::{KeyError, KeyRecord, KeyText, OperatorKey};
 pub use lists::{parse_grants, parse_plans};
 pub use member::{MemberDoc, MemberRecord};
+pub use nesting::find_excess_nesting;
 pub use quantity::{
     AcceleratorCount, Cores, Mebibytes, Millicores, Millis, Moment, Revision, SlotCount,
 };
