--- a/crates/daemon/tests/untrusted_clients.rs
+++ b/crates/daemon/tests/untrusted_clients.rs
@@ -30,6 +30,12 @@
 const PIPELINED_BYTES: usize = 1 << 20;
 /// Part of a frame that each peer sends: just less than the frame.
 const LARGE_FRAME_BYTES: usize = 14 << 20;
+/// More than an address serves at one time with the limits of the tests.
+const SLOW_CLIENTS: usize = 60;
+/// Clients that stop after most of a large body.
+const BODY_CLIENTS: usize = 64;
+const HALF_BODY_BYTES: usize = 800_000;
+const UNREAD_REQUEST: &[u8] = b"GET /metrics HTTP/1.1\r\n\r\n";
 /// Bodies within the limit on their size.
 const NESTED_BODY_BYTES: usize = 900_000;
 const DENSE_BODY_BYTES: usize = 1_000_000;
@@ -56,25 +62,29 @@
 const NOT_READY: &str = "not ready, shared records";
 
 fn check_platform_daemon(mut daemon: TestDaemon, crowd: Crowd) {
+    check_answers(&daemon);
+    check_limits(&mut daemon, MEMORY_MIB, MAX_DESCRIPTORS);
+    drop(crowd);
+}
+
+fn check_answers(daemon: &TestDaemon) {
     send_ordinary_request(daemon.address(SUBMITTERS), SUBMISSION, NOT_RUN);
     send_ordinary_request(daemon.address(READINESS), READINESS_PROBE, NOT_READY);
     send_ordinary_request(daemon.address(INTERNAL), METRICS, "pollenfall_");
-    check_resources(&mut daemon);
-    drop(crowd);
 }
 
 fn check_product_daemon(mut daemon: TestDaemon, crowd: Crowd) {
     send_ordinary_request(daemon.address(CALLERS), HEALTH, "alive");
-    check_resources(&mut daemon);
+    check_limits(&mut daemon, MEMORY_MIB, MAX_DESCRIPTORS);
     drop(crowd);
 }
 
-fn check_resources(daemon: &mut TestDaemon) {
+fn check_limits(daemon: &mut TestDaemon, memory_mib: u64, descriptors: usize) {
     assert!(daemon.is_alive(), "the daemon has ended");
     let (peak_kib, open) = (daemon.peak_memory_kib(), daemon.count_descriptors());
     eprintln!("peak of the memory {peak_kib} KiB, {open} open descriptors");
-    assert!(peak_kib <= MEMORY_MIB << 10, "{peak_kib} KiB, allowed are {MEMORY_MIB} MiB");
-    assert!(open <= MAX_DESCRIPTORS, "{open} open descriptors, allowed are {MAX_DESCRIPTORS}");
+    assert!(peak_kib <= memory_mib << 10, "{peak_kib} KiB, allowed are {memory_mib} MiB");
+    assert!(open <= descriptors, "{open} open descriptors, allowed are {descriptors}");
 }
 
 /// Case (a): heads over the limit, heads without an end, endless empty lines.
@@ -123,6 +133,53 @@
     check_platform_daemon(daemon, crowd);
 }
 
+/// Case (d): connections that send a byte now and then, as many as an address serves.
+#[rstest]
+#[case::submitters_head(SUBMITTERS, b"", b"GET /queue/ HTTP/1.1\r\nHost: ")]
+#[case::submitters_lines(SUBMITTERS, b"", b"\r\n")]
+#[case::submitters_body(SUBMITTERS, b"POST /queue/ HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", b"a")]
+#[case::readiness(READINESS, b"", b"GET /api/readyz HTTP/1.1\r\nHost: ")]
+#[case::internal(INTERNAL, b"", b"GET /metrics HTTP/1.1\r\nHost: ")]
+fn slow_clients_occupy_no_reader(
+    #[case] address: usize,
+    #[case] start: &[u8],
+    #[case] bytes: &'static [u8],
+) {
+    let daemon = TestDaemon::start_on_platform(LIMITS, None);
+    let crowd = fall_silent_after(daemon.address(address), SLOW_CLIENTS, start);
+    let slow = crowd.send_slowly(bytes);
+    check_platform_daemon(daemon, Crowd::default());
+    drop(slow);
+}
+
+/// The whole crowd at once, on all addresses, with the limits of the tests and with those of the
+/// smallest VM of the larger deployments.
+#[rstest]
+#[case(LIMITS, MANY_CONNECTIONS, MEMORY_MIB, MAX_DESCRIPTORS)]
+#[case("Limits.MemoryMb=160\nLimits.MaxFds=4100", 2_000, 160, 4_100)]
+fn the_whole_crowd_stays_within_the_limits(
+    #[case] limits: &str,
+    #[case] connections: usize,
+    #[case] memory_mib: u64,
+    #[case] descriptors: usize,
+) {
+    let mut daemon = TestDaemon::start_on_platform(limits, None);
+    let mut crowd = Crowd::default();
+    for index in [SUBMITTERS, READINESS, INTERNAL] {
+        let address = daemon.address(index);
+        let half_body = b"POST /queues/a/b HTTP/1.1\r\nContent-Length: 900000\r\n\r\n{";
+        crowd = crowd
+            .and(fall_silent_after(address, connections, b""))
+            .and(send_without_reading(address, SENDERS, b"GET /", b"a", ENDLESS_BYTES))
+            .and(send_without_reading(address, SENDERS, b"", UNREAD_REQUEST, PIPELINED_BYTES))
+            .and(send_without_reading(address, BODY_CLIENTS, half_body, b" ", HALF_BODY_BYTES))
+            .and(fall_silent_after(address, connections, b"GET /queue/ HTTP/1.1\r\nHost: a"));
+    }
+    check_answers(&daemon);
+    check_limits(&mut daemon, memory_mib, descriptors);
+    drop(crowd);
+}
+
 /// A body over the limit, with a declared length and without.
 #[rstest]
 #[case::declared(b"POST /queue/ HTTP/1.1\r\nContent-Length: 999999999\r\n\r\n", b"aaaaaaaa")]
@@ -223,6 +280,28 @@
     check_product_daemon(daemon, crowd);
 }
 
+/// Bodies of control requests whose values take many times their length once they are decoded,
+/// from clients without a key.
+#[rstest]
+#[case::job("POST /control/jobs", r#"{"a":["#, "0,", "0]}")]
+#[case::vm("POST /control/vms/vm-1", r#"{"a":["#, "0,", "0]}")]
+#[case::change("POST /control/change", r#"{"a":["#, "0,", "0]}")]
+#[case::edits("POST /control/change", r#"{"change":"a","expect":1,"edits":["#, "{},", "{}]}")]
+#[case::edit("POST /control/change", r#"{"change":"a","expect":1,"edits":[{"a":["#, "0,", "0]}]}")]
+fn dense_control_bodies_stay_within_the_memory(
+    #[case] line: &str,
+    #[case] start: &str,
+    #[case] part: &str,
+    #[case] end: &str,
+) {
+    let daemon = TestDaemon::start_product();
+    let body = format!("{start}{}{end}", part.repeat(DENSE_BODY_BYTES / part.len()));
+    let head = format!("{line} HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len());
+    let request = head + &body;
+    let crowd = send_and_fall_silent(daemon.address(CALLERS), SENDERS, request.as_bytes());
+    check_product_daemon(daemon, crowd);
+}
+
 const HANDSHAKE: &str = "GET /peer HTTP/1.1\r\nHost: a.example\r\nUpgrade: websocket\r\n\
     Connection: Upgrade\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\
     Sec-WebSocket-Version: 13\r\n\r\n";
--- a/crates/daemon/tests/untrusted_clients/crowd.rs
+++ b/crates/daemon/tests/untrusted_clients/crowd.rs
@@ -2,7 +2,9 @@
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::thread;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 /// Time after which a client stops to write to a server that does not read; also the limit on
@@ -13,12 +15,57 @@
 /// Delay before an ordinary client that was refused tries again, and its number of attempts.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 const MAX_ATTEMPTS: usize = 10;
+/// Delay between two bytes of a slow client.
+const BYTE_DELAY: Duration = Duration::from_millis(20);
 /// Length of a single write of a misbehaving client, in bytes.
 const WRITE_BYTES: usize = 64 << 10;
 
 /// Connections of a crowd, which stay open as long as this value.
+#[derive(Default)]
 pub struct Crowd {
-    _connections: Vec<TcpStream>,
+    connections: Vec<TcpStream>,
+}
+
+/// Clients that send a byte now and then, as long as this value.
+pub struct SlowCrowd {
+    is_over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for SlowCrowd {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Crowd {
+    /// Sends `bytes` over and over on each connection, one byte in each [`BYTE_DELAY`].
+    pub fn send_slowly(self, bytes: &'static [u8]) -> SlowCrowd {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let stop = Arc::clone(&is_over);
+        let thread = thread::spawn(move || {
+            for byte in bytes.iter().cycle() {
+                if stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                for mut connection in &self.connections {
+                    let _ = connection.set_nonblocking(true);
+                    let _ = connection.write(&[*byte]);
+                }
+                thread::sleep(BYTE_DELAY);
+            }
+        });
+        SlowCrowd { is_over, thread: Some(thread) }
+    }
+
+    /// Joins two crowds.
+    pub fn and(mut self, other: Self) -> Self {
+        self.connections.extend(other.connections);
+        self
+    }
 }
 
 /// Opens `clients` connections. Each sends `start` and then `piece` over and over, up to
@@ -36,7 +83,7 @@
         let threads: Vec<_> = (0..clients).map(|_| run_client()).collect();
         threads.into_iter().filter_map(|thread| thread.join().expect("a client ran").ok()).collect()
     });
-    Crowd { _connections: connections }
+    Crowd { connections: connections }
 }
 
 fn run_client(
@@ -91,7 +138,7 @@
         let threads: Vec<_> = (0..clients).map(|_| scope.spawn(run_client)).collect();
         threads.into_iter().filter_map(|thread| thread.join().expect("a client ran").ok()).collect()
     });
-    Crowd { _connections: connections }
+    Crowd { connections: connections }
 }
 
 /// Opens `clients` connections one after the other; each sends `start` and falls silent.
@@ -101,7 +148,7 @@
         stream.write_all(start)?;
         Ok(stream)
     };
-    Crowd { _connections: (0..clients).filter_map(|index| open(index).ok()).collect() }
+    Crowd { connections: (0..clients).filter_map(|index| open(index).ok()).collect() }
 }
 
 /// Sends `request` on `clients` connections one after the other, and waits until each answer
@@ -114,7 +161,7 @@
         stream.read_exact(&mut [0])?;
         Ok(stream)
     };
-    Crowd { _connections: (0..clients).filter_map(|index| send(index).ok()).collect() }
+    Crowd { connections: (0..clients).filter_map(|index| send(index).ok()).collect() }
 }
 
 /// Sends `request` until an answer contains `expected`; a client that is refused tries again,
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -13,6 +13,10 @@
 
 use crate::outcome::refusal_status;
 
+/// Maximum length of the body with an action for a VM. Its decoder keeps all fields in memory
+/// until it has found the action, at many times their length.
+const MAX_ACTION_BYTES: usize = 4 << 10;
+
 /// Body of a request to change the configuration.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ChangeBody {
@@ -91,6 +95,9 @@
         }
         ("POST", ["vms", vm]) => {
             let vm = vm.parse().map_err(to_parse_error)?;
+            if body.len() > MAX_ACTION_BYTES {
+                return Err(to_parse_error("the action is too long"));
+            }
             let action: VmAction = parse_body(body)?;
             Ok(ControlRequest::Vm { vm, action })
         }
