--- a/crates/state/src/client_limits.rs
+++ b/crates/state/src/client_limits.rs
@@ -8,12 +8,12 @@
 
 use crate::Mebibytes;
 
-/// Memory of an idle connection in bytes: its read and write buffer of 8 KiB each, and its
-/// records.
-pub const IDLE_CONNECTION_BYTES: u64 = 24 << 10;
+/// Memory of an idle connection in bytes, beside its read buffer, which has the size of the largest
+/// head: its write buffer of 8 KiB and its records.
+const CONNECTION_RECORD_BYTES: u64 = 12 << 10;
 /// Memory that a connection holds in addition during a request, in bytes: the parsed head and
 /// the kernel's buffers of both directions ([`SOCKET_BUFFER_BYTES`], which Linux doubles).
-pub const BUSY_CONNECTION_BYTES: u64 = 48 << 10;
+const REQUEST_BYTES: u64 = 36 << 10;
 /// Size of the kernel's receive and send buffer of a connection in bytes, as requested.
 pub const SOCKET_BUFFER_BYTES: u32 = 8 << 10;
 
@@ -23,7 +23,7 @@
 const MIN_BODY_BYTES: u64 = 64 << 10;
 /// Divisor of the VM's memory that yields the memory for clients.
 const MEMORY_DIVISOR: u32 = 4;
-const DEFAULT_MEMORY: Mebibytes = Mebibytes(64);
+const DEFAULT_MEMORY: Mebibytes = Mebibytes(128);
 const MIN_MEMORY: Mebibytes = Mebibytes(8);
 const MAX_DEFAULT_MEMORY: Mebibytes = Mebibytes(256);
 const DEFAULT_CONNECTIONS: u64 = 4_096;
@@ -158,6 +158,19 @@
     pub timeouts: ClientTimeouts,
 }
 
+impl AddressLimits {
+    /// Returns the memory of an idle connection in bytes.
+    pub fn idle_connection_bytes(&self) -> u64 {
+        idle_connection_bytes(self.head_bytes as u64)
+    }
+
+    /// Returns the memory of a connection with a request in progress in bytes, beside the body
+    /// of the request or the response.
+    pub fn busy_connection_bytes(&self) -> u64 {
+        self.idle_connection_bytes() + REQUEST_BYTES
+    }
+}
+
 impl Default for ClientLimits {
     fn default() -> Self {
         Self::for_vm(VmResources::default())
@@ -172,7 +185,8 @@
             memory_bytes,
             connections: compute_connections(vm.descriptors),
             head_bytes: u64::from(MIN_HEAD_BYTES),
-            body_bytes: DEFAULT_BODY_BYTES.min(largest_body(memory_bytes)),
+            body_bytes: DEFAULT_BODY_BYTES
+                .min(largest_body(memory_bytes, u64::from(MIN_HEAD_BYTES))),
             timeouts: ClientTimeouts::default(),
         }
     }
@@ -200,7 +214,7 @@
         check("memory", overrides.memory, MIN_MEMORY.0.into(), 1 << 20, &mut memory_mib);
         if overrides.memory.is_some() {
             self.memory_bytes = memory_mib << 20;
-            self.body_bytes = self.body_bytes.min(largest_body(self.memory_bytes));
+            self.body_bytes = self.body_bytes.min(largest_body(self.memory_bytes, self.head_bytes));
         }
         let connections = overrides.connections;
         check("connections", connections, MIN_CONNECTIONS, MAX_CONNECTIONS, &mut self.connections);
@@ -218,8 +232,8 @@
             check(name, value, MIN_TIMEOUT_MS, MAX_TIMEOUT_MS, &mut milliseconds);
             *timeout = Duration::from_millis(milliseconds);
         }
-        if self.body_bytes > largest_body(self.memory_bytes) {
-            let largest = largest_body(self.memory_bytes);
+        let largest = largest_body(self.memory_bytes, self.head_bytes);
+        if self.body_bytes > largest {
             let reason = format!(
                 "{} do not fit into the memory for clients, which allows {largest}",
                 self.body_bytes
@@ -260,8 +274,12 @@
     beside_outgoing.max(for_sockets / 4).clamp(MIN_CONNECTIONS, MAX_CONNECTIONS)
 }
 
+fn idle_connection_bytes(head_bytes: u64) -> u64 {
+    head_bytes + CONNECTION_RECORD_BYTES
+}
+
 /// Returns the largest body that every address has memory for.
-fn largest_body(memory_bytes: u64) -> u64 {
+fn largest_body(memory_bytes: u64, head_bytes: u64) -> u64 {
     let smallest_share = memory_bytes * ClientAddress::Readiness.percent() / 100;
-    smallest_share.saturating_sub(IDLE_CONNECTION_BYTES + BUSY_CONNECTION_BYTES)
+    smallest_share.saturating_sub(idle_connection_bytes(head_bytes) + REQUEST_BYTES)
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -36,8 +36,8 @@
 pub use allocation::{AllocationTable, DaemonRef, SlotDoc};
 pub use claim::{ClaimDoc, ClaimRecord, ClaimState, StoredAnswer};
 pub use client_limits::{
-    AddressLimits, BUSY_CONNECTION_BYTES, ClientAddress, ClientLimits, ClientOverrides,
-    ClientTimeouts, IDLE_CONNECTION_BYTES, SOCKET_BUFFER_BYTES, VmResources,
+    AddressLimits, ClientAddress, ClientLimits, ClientOverrides, ClientTimeouts,
+    SOCKET_BUFFER_BYTES, VmResources,
 };
 pub use config::{ConfigDoc, ConfigEdit, PlanGrant, PoolPolicy, Preference, Priority, TeamPlan};
 pub use fault::{ObjectReader, ParsedValue, SettingFault, parse_value};
--- a/crates/transport/src/server/table.rs
+++ b/crates/transport/src/server/table.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use slab::Slab;
-use state::{AddressLimits, BUSY_CONNECTION_BYTES, IDLE_CONNECTION_BYTES};
+use state::AddressLimits;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -46,10 +46,10 @@
     /// Phases in which a connection waits for its client.
     const WAITING: [Self; 4] = [Self::Closing, Self::Head, Self::Body, Self::Responding];
 
-    fn memory_bytes(self) -> u64 {
+    fn memory_bytes(self, limits: &AddressLimits) -> u64 {
         match self {
-            Self::Idle => IDLE_CONNECTION_BYTES,
-            _ => IDLE_CONNECTION_BYTES + BUSY_CONNECTION_BYTES,
+            Self::Idle => limits.idle_connection_bytes(),
+            _ => limits.busy_connection_bytes(),
         }
     }
 
@@ -70,15 +70,15 @@
     client: IpAddr,
     phase: Phase,
     since: Instant,
-    /// Bytes of the body or the response, beyond those of the phase.
-    content_bytes: u64,
+    /// Memory of the phase, and of the body or the response.
+    memory_bytes: u64,
     /// Taken when the connection is told to close; its memory is no longer counted then.
     close: Option<oneshot::Sender<ClientCause>>,
 }
 
 impl Entry {
     fn memory_bytes(&self) -> u64 {
-        if self.close.is_none() { 0 } else { self.phase.memory_bytes() + self.content_bytes }
+        if self.close.is_none() { 0 } else { self.memory_bytes }
     }
 }
 
@@ -124,16 +124,17 @@
                 return self.refuse(ClientCause::Full, client);
             }
         }
-        if !self.make_room(&mut state, Phase::Idle.memory_bytes(), None) {
+        let memory_bytes = Phase::Idle.memory_bytes(&self.limits);
+        if !self.make_room(&mut state, memory_bytes, None) {
             return self.refuse(ClientCause::NoMemory, client);
         }
         let (sender, receiver) = oneshot::channel();
         let since = Instant::now();
         let (phase, close) = (Phase::Idle, Some(sender));
-        let key = state.entries.insert(Entry { client, phase, since, content_bytes: 0, close });
+        let key = state.entries.insert(Entry { client, phase, since, memory_bytes, close });
         state.by_phase[phase as usize].insert((since, key));
         state.open += 1;
-        state.memory_bytes += phase.memory_bytes();
+        state.memory_bytes += memory_bytes;
         self.publish(&state);
         drop(state);
         Ok((TableEntry { table: self.clone(), key }, receiver))
@@ -249,12 +250,12 @@
             return true;
         }
         let (old_phase, old_since, old_bytes) = (entry.phase, entry.since, entry.memory_bytes());
-        let new_bytes = phase.memory_bytes() + content_bytes;
+        let new_bytes = phase.memory_bytes(&self.table.limits) + content_bytes;
         let added = new_bytes.saturating_sub(old_bytes);
         let has_room = added == 0 || self.table.make_room(&mut state, added, Some(self.key));
         let since = if phase == old_phase { old_since } else { Instant::now() };
         let entry = &mut state.entries[self.key];
-        (entry.phase, entry.since, entry.content_bytes) = (phase, since, content_bytes);
+        (entry.phase, entry.since, entry.memory_bytes) = (phase, since, new_bytes);
         state.by_phase[old_phase as usize].remove(&(old_since, self.key));
         state.by_phase[phase as usize].insert((since, self.key));
         state.memory_bytes = state.memory_bytes + new_bytes - old_bytes;
