--- a/crates/daemon/src/runtime/decision_log.rs
+++ b/crates/daemon/src/runtime/decision_log.rs
@@ -14,8 +14,8 @@
 /// Maximum number of lines that wait for the log thread.
 const CHANNEL_CAPACITY: usize = 2_048;
 const MAX_LINES_PER_SECOND: u32 = 600;
-/// Maximum length of an id; the paths of requests are not bounded otherwise.
-const MAX_ID_BYTES: usize = 256;
+/// Maximum length of a text that contains a client's bytes, such as the path of a request.
+const MAX_CLIENT_TEXT_BYTES: usize = 256;
 /// Time for the log thread to write the last lines before the process ends.
 const FLUSH_DELAY: Duration = Duration::from_millis(30);
 
@@ -48,14 +48,19 @@
     std::thread::sleep(FLUSH_DELAY);
 }
 
-/// Shortens the name of a request, which its client chooses, to [`MAX_ID_BYTES`].
+/// Shortens the name of a request, which its client chooses.
 pub fn shorten_id(line: DecisionLine) -> DecisionLine {
-    if line.id.len() <= MAX_ID_BYTES {
-        return line;
+    DecisionLine { id: shorten_text(line.id), ..line }
+}
+
+/// Shortens a text that contains a client's bytes to [`MAX_CLIENT_TEXT_BYTES`].
+pub fn shorten_text(text: Box<str>) -> Box<str> {
+    if text.len() <= MAX_CLIENT_TEXT_BYTES {
+        return text;
     }
-    let end = (0..=MAX_ID_BYTES).rev().find(|end| line.id.is_char_boundary(*end)).unwrap_or(0);
-    let id = line.id[..end].into();
-    DecisionLine { id, ..line }
+    let mut ends = (0..=MAX_CLIENT_TEXT_BYTES).rev();
+    let end = ends.find(|end| text.is_char_boundary(*end)).unwrap_or(0);
+    text[..end].into()
 }
 
 fn write_line(line: &DecisionLine) {
--- a/crates/daemon/src/runtime/submitters.rs
+++ b/crates/daemon/src/runtime/submitters.rs
@@ -11,6 +11,7 @@
 use state::ClientAddress;
 use transport::{HttpServer, IncomingRequest, OutgoingResponse, Refusal};
 
+use super::decision_log::shorten_text;
 use super::host::FleetHost;
 
 /// Number of threads that decode requests and post them as events. They get complete requests,
@@ -64,7 +65,7 @@
 /// Logs that a request cannot be decoded. The line counts as a decision, so that the log's limits
 /// hold for it.
 pub fn log_refusal(host: &FleetHost, url: &str, fault: String) {
-    let (id, inputs) = (url.into(), fault.into());
+    let (id, inputs) = (url.into(), shorten_text(fault.into()));
     host.log(DecisionLine { decision: "request", id, inputs, outcome: "refused".into() });
 }
 
