--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod allocation;
 mod claim;
+mod client_limits;
 mod config;
 mod decode;
 mod fault;
@@ -35,6 +36,10 @@
 
 pub use allocation::{AllocationTable, DaemonRef, SlotDoc};
 pub use claim::{ClaimDoc, ClaimRecord, ClaimState, StoredAnswer};
+pub use client_limits::{
+    AddressLimits, ClientAddress, ClientLimits, ClientOverrides, ClientTimeouts,
+    SOCKET_BUFFER_BYTES, VmResources,
+};
 pub use config::{ConfigDoc, ConfigEdit, PlanGrant, PoolPolicy, Preference, Priority, TeamPlan};
 pub use decode::{LocatedDecode, UnknownField, decode_located};
 pub use fault::{ObjectReader, SettingFault};
