VM health: judge sooner, after fewer slow runs and after losses

Cause: a VM that became slow was held back 7 s later (trace: fault at 10.0 s, judged slow at 17.3 s), since half of its last 12 runs had to be slow; a rack was judged up to 0.5 s after its VMs were found lost.

Change: the last 7 durations count; a loss of contact brings the judgement forward as a failed run does.

No healthy VM is held back in crates/policy/tests/vm_health.rs, as before.

--- a/crates/fleet/src/pool/vm_health.rs
+++ b/crates/fleet/src/pool/vm_health.rs
@@ -20,7 +20,7 @@
 
 /// Interval between two judgements.
 const JUDGEMENT_INTERVAL: Millis = Millis(500);
-/// Interval between two judgements while runs fail.
+/// Interval between two judgements while runs fail or VMs are lost.
 const MIN_JUDGEMENT_INTERVAL: Millis = Millis(50);
 /// Minimum number of VMs that share a label for the label to count as a rack.
 const MIN_RACK_VMS: usize = 2;
@@ -54,6 +54,13 @@
 }
 
 impl VmHealthState {
+    /// Advances the next judgement after a failure. A VM on which every run fails at once would fail many
+    /// jobs until the regular one, and a rack that is being lost would get starts.
+    fn judge_early(&mut self) {
+        let early = self.judged_at + MIN_JUDGEMENT_INTERVAL;
+        self.next_judgement_at = self.next_judgement_at.min(early);
+    }
+
     /// Takes a stop from the budget, for a task that was not restarted before.
     fn take_stop(&mut self, task: &TaskName) -> bool {
         if self.saved_ends < ENDS_PER_STOP || !self.restarted.insert(task.clone()) {
@@ -92,6 +99,7 @@
             MinionAnswer::Unknown => {
                 if state.racks.record_unanswered(&vm, now) {
                     state.health.record_unanswered(&vm, now);
+                    state.judge_early();
                 }
             }
             MinionAnswer::Refused(OrderRefusal::Unhealthy) => {
@@ -132,9 +140,7 @@
             }
             EndKind::Failed => {
                 state.health.record_failed(&vm, step_key(task), now);
-                // A VM on which every run fails at once would fail many jobs until the next judgement.
-                let early = state.judged_at + MIN_JUDGEMENT_INTERVAL;
-                state.next_judgement_at = state.next_judgement_at.min(early);
+                state.judge_early();
             }
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
         }
--- a/crates/policy/src/vm_health/evidence.rs
+++ b/crates/policy/src/vm_health/evidence.rs
@@ -7,7 +7,7 @@
 use super::median;
 
 /// Number of the newest durations of a VM that are kept.
-const MAX_SPEEDS: usize = 12;
+const MAX_SPEEDS: usize = 7;
 /// Number of the newest outcomes of a VM that are kept.
 const MAX_OUTCOMES: usize = 24;
 /// Number of durations from which a VM's speed is known.
