VM health: a loss of contact is no evidence against a VM

Change: losses of contact count for racks only; pauses of single minions without an answer were there before.

--- a/crates/fleet/src/pool/vm_health.rs
+++ b/crates/fleet/src/pool/vm_health.rs
@@ -97,8 +97,9 @@
         let state = &mut self.vm_health;
         match answer {
             MinionAnswer::Unknown => {
+                // A loss of contact says as much about the owner's link as about the VM, so it is no
+                // evidence against the VM alone.
                 if state.racks.record_unanswered(&vm, now) {
-                    state.health.record_unanswered(&vm, now);
                     state.judge_early();
                 }
             }
--- a/crates/policy/src/vm_health.rs
+++ b/crates/policy/src/vm_health.rs
@@ -125,12 +125,6 @@
         self.add_failure(vm, 500, at);
     }
 
-    /// Records that a VM has stopped answering. The caller records each such loss once, so that a VM is
-    /// not held back after one long loss, but after several short ones.
-    pub fn record_unanswered(&mut self, vm: &VmId, at: Moment) {
-        self.add_failure(vm, 500, at);
-    }
-
     fn add_failure(&mut self, vm: &VmId, weight_permille: u64, at: Moment) {
         let state = self.state_mut(vm);
         state.evidence.add_outcome(weight_permille, at);
