--- a/crates/fleet/src/pool/vm_health.rs
+++ b/crates/fleet/src/pool/vm_health.rs
@@ -16,7 +16,7 @@
 use super::minion::{OwnedMinion, RunPhase};
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::event::{Measurement, VmHealthDecision};
-use crate::io::{EndKind, MinionAnswer, OrderRefusal};
+use crate::io::{EndKind, MinionAnswer};
 
 /// Interval between two judgements.
 const JUDGEMENT_INTERVAL: Millis = Millis(500);
@@ -103,10 +103,7 @@
                     state.judge_early();
                 }
             }
-            MinionAnswer::Refused(OrderRefusal::Unhealthy) => {
-                state.racks.record_answered(&vm, now);
-                state.health.record_refused(&vm, now);
-            }
+            // A refused start costs its task nothing: the task starts on another minion at once.
             _ => state.racks.record_answered(&vm, now),
         }
     }
--- a/crates/policy/src/vm_health.rs
+++ b/crates/policy/src/vm_health.rs
@@ -120,11 +120,6 @@
         self.add_failure(vm, weight, at);
     }
 
-    /// Records a start that the VM refused as unhealthy.
-    pub fn record_refused(&mut self, vm: &VmId, at: Moment) {
-        self.add_failure(vm, 500, at);
-    }
-
     fn add_failure(&mut self, vm: &VmId, weight_permille: u64, at: Moment) {
         let state = self.state_mut(vm);
         state.evidence.add_outcome(weight_permille, at);
