Capacity: a pool keeps a quarter of its VMs in a pause that is forecast

Cause: with a forecast of a pause a pool without long-running tasks retained no VM, so that a wrong forecast would have left it without capacity.

--- a/crates/fleet/src/pool/demand.rs
+++ b/crates/fleet/src/pool/demand.rs
@@ -139,9 +139,6 @@
             open_work: self.demand.estimate.open_work(),
             arrival_rate: self.demand.estimate.arrival_rate(wall_ms),
             expected_rate: self.expected_rate(context),
-            peak_rate: Some(self.demand.forecast.recent_peak(wall_ms))
-                .filter(|peak| peak.0 > 0)
-                .map(|peak| Millicores(peak.0)),
             initial_vms: self.demand.initial_vms,
             ..PoolLoad::default()
         };
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -3,13 +3,12 @@
 //! The load: each queue asks in turns for several times its mean, for seconds at a time, and for
 //! almost nothing in between, while a VM takes about two seconds from the request to its first
 //! task. A pool therefore requests all VMs that its work needs as soon as the need is certain, and
-//! retains between two bursts only
+//! retains between two bursts
 //!
 //! - what its long-running tasks and its open work need,
-//! - enough capacity to carry the beginning of the next burst until more VMs arrive, and
+//! - enough capacity to carry the beginning of the next burst until more VMs arrive: the VMs that it
+//!   was given, or a part of them while a forecast tells when the burst comes, and
 //! - a reserve for the loss of VMs (`docs/design/capacity.md`).
-//!
-//! A pool that has seen no burst yet retains the VMs that it was given.
 
 use state::{Millicores, Millis};
 
@@ -17,6 +16,9 @@
 const BACKLOG_TARGET: Millis = Millis(1_500);
 /// Capacity that a pool retains for its open work, in percent of what the work needs.
 const RETAINED_PERCENT: u64 = 150;
+/// VMs that a pool retains in a pause that is forecast, in percent of those that it was given, so that
+/// a wrong forecast leaves it able to work.
+const MIN_RETAINED_PERCENT: u64 = 25;
 /// VMs that a pool retains for the loss of others, in percent.
 const LOSS_RESERVE_PERCENT: u64 = 5;
 
@@ -37,8 +39,6 @@
     pub arrival_rate: Millicores,
     /// Rate of the work that is expected to arrive while a VM moves; `None` without a forecast.
     pub expected_rate: Option<Millicores>,
-    /// Rate of the highest recent burst; `None` if the pool has seen none.
-    pub peak_rate: Option<Millicores>,
     /// Number of VMs that the pool had at first.
     pub initial_vms: u32,
 }
@@ -77,13 +77,14 @@
     (load.open_work / BACKLOG_TARGET.0).max(load.arrival_rate.0)
 }
 
-/// Returns the capacity that carries the beginning of a burst: that of the VMs which the pool was
-/// given. A forecast replaces it, since the VMs are then requested before the burst begins.
+/// Returns the capacity that carries the beginning of a burst. With a forecast, the VMs are requested
+/// before the burst begins.
 fn onset_rate(load: &PoolLoad) -> u64 {
-    if load.expected_rate.is_some() {
-        return 0;
+    let initial_rate = u64::from(load.initial_vms) * load.vm_capacity.0;
+    match load.expected_rate {
+        Some(_) => initial_rate * MIN_RETAINED_PERCENT / 100,
+        None => initial_rate,
     }
-    u64::from(load.initial_vms) * load.vm_capacity.0
 }
 
 fn to_count(vms: u64) -> u32 {
