--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -63,12 +63,12 @@
         load.expected_rate.map_or(0, |rate| rate.0.saturating_add(load.long_running.0));
     let missing = present_need.max(coming_need).saturating_sub(load.capacity.0);
     let for_work = (present_need.saturating_mul(RETAINED_PERCENT) / 100).max(coming_need);
-    let for_onset = onset_rate(load);
-    let retained = for_work.max(for_onset).div_ceil(vm_capacity);
-    let with_reserve = retained.saturating_add((retained * LOSS_RESERVE_PERCENT).div_ceil(100));
+    let work_vms = for_work.div_ceil(vm_capacity);
+    let loss_reserve = work_vms.saturating_mul(LOSS_RESERVE_PERCENT) / 100;
+    let retained_vms = work_vms.saturating_add(loss_reserve).max(onset_vms(load));
     CapacityPlan {
         requested: to_count(missing.div_ceil(vm_capacity)),
-        retained: to_count(with_reserve),
+        retained: to_count(retained_vms),
     }
 }
 
@@ -77,13 +77,13 @@
     (load.open_work / BACKLOG_TARGET.0).max(load.arrival_rate.0)
 }
 
-/// Returns the capacity that carries the beginning of a burst. With a forecast, the VMs are requested
+/// Returns the VMs that carry the beginning of a burst. With a forecast, the others are requested
 /// before the burst begins.
-fn onset_rate(load: &PoolLoad) -> u64 {
-    let initial_rate = u64::from(load.initial_vms) * load.vm_capacity.0;
+fn onset_vms(load: &PoolLoad) -> u64 {
+    let initial_vms = u64::from(load.initial_vms);
     match load.expected_rate {
-        Some(_) => initial_rate * MIN_RETAINED_PERCENT / 100,
-        None => initial_rate,
+        Some(_) => (initial_vms * MIN_RETAINED_PERCENT).div_ceil(100),
+        None => initial_vms,
     }
 }
 
