Maintenance: a wave with time to spare waits for the end of a burst

Change: while jobs wait for capacity, a wave whose maintenance fits twice into the time that is left begins no drain.

--- a/crates/fleet/src/pool/maintenance.rs
+++ b/crates/fleet/src/pool/maintenance.rs
@@ -4,7 +4,8 @@
 //! this record by compare-and-swap, so the bound on VMs that are down at one time holds
 //! whichever daemons own the pools. A pool drains as many of its VMs side by side as it must to
 //! begin all maintenance in time, so that a large wave does not end late and a small one takes no
-//! capacity that it does not need. A VM is first drained: it gets no starts; checkpointing
+//! capacity that it does not need. While jobs wait for capacity, a wave that has time to spare begins
+//! no drain. A VM is first drained: it gets no starts; checkpointing
 //! tasks are stopped and continue elsewhere; long-running tasks move one at a time within
 //! what their step may miss; all other tasks run to their end. Then the VM is marked as
 //! down, and the VM controller orders the maintenance.
@@ -28,6 +29,11 @@
 /// Part of the time that is left in which a pool tries to drain its VMs, in percent; the rest is
 /// for tasks that take longer.
 const PLANNED_TIME_PERCENT: u64 = 60;
+/// Time from the beginning of a drain until the VM is back.
+const ROUND_DURATION: Millis = Millis(5_000);
+/// Multiple of the time that the maintenance takes at least which must be left while a pool puts
+/// drains off.
+const POSTPONE_FACTOR: u64 = 2;
 
 /// Work of this pool for one wave.
 #[derive(Debug)]
@@ -178,7 +184,13 @@
         let wave = self.maintenance.waves.entry(order.wave).or_insert_with(new_wave);
         wave.draining_vms.retain(|vm| waiting.iter().any(|waiting| waiting.vm == *vm));
         let elapsed = now - wave.seen_at;
-        let count = parallel_drains(waiting.len(), order.duration, elapsed).min(allowed.max(1));
+        let may_postpone =
+            self.ready_queue.waits_for_capacity() && has_time(waiting.len(), order, elapsed);
+        let count = if may_postpone {
+            0
+        } else {
+            parallel_drains(waiting.len(), order.duration, elapsed).min(allowed.max(1))
+        };
         for next in &waiting {
             if wave.draining_vms.len() >= count {
                 break;
@@ -310,6 +322,13 @@
     }
 }
 
+/// Whether the maintenance of a pool's `waiting` VMs would be in time even if it began later.
+fn has_time(waiting: usize, order: &WaveOrder, elapsed: Millis) -> bool {
+    let rounds = waiting.div_ceil((order.max_down as usize).max(1)) as u64;
+    let needed_ms = rounds.saturating_mul(ROUND_DURATION.0).saturating_mul(POSTPONE_FACTOR);
+    needed_ms <= order.duration.0.saturating_sub(elapsed.0)
+}
+
 /// Returns how many of a pool's VMs should drain side by side so that all `waiting` ones are down
 /// within the planned part of the time that is left of `duration`.
 fn parallel_drains(waiting: usize, duration: Millis, elapsed: Millis) -> usize {
--- a/crates/fleet/src/pool/ready_queue.rs
+++ b/crates/fleet/src/pool/ready_queue.rs
@@ -93,6 +93,14 @@
         self.jobs.is_empty()
     }
 
+    /// Whether the last placement pass found tasks that wait for VMs with free capacity.
+    pub(super) fn waits_for_capacity(&self) -> bool {
+        let waits = |group: &ReadyGroup| {
+            matches!(group.wait_cause.get(), WaitCause::Capacity | WaitCause::UnusableMinions)
+        };
+        self.jobs.values().any(|ready| ready.groups.iter().any(waits))
+    }
+
     /// Returns the jobs in the order of placement.
     pub(super) fn iter(&self) -> impl Iterator<Item = (&JobId, &ReadyJob)> {
         self.jobs.iter().map(|((_, job), ready)| (job, ready))
--- a/crates/fleet/tests/rules/waves.rs
+++ b/crates/fleet/tests/rules/waves.rs
@@ -68,3 +68,32 @@
     assert_eq!(complete, [1, 2, 3, 4]);
     assert_eq!(simulation.checker.violations, Vec::new());
 }
+
+/// Guards against a pool that drains VMs for a long wave while its jobs wait for capacity, and against
+/// one that puts the wave off for too long.
+#[test]
+fn wave_with_time_to_spare_waits_for_the_end_of_a_burst() {
+    let mut config = build_config();
+    for team in &mut config.teams {
+        team.limit.processor = Millicores(u64::MAX);
+    }
+    let mut simulation = Simulation::new(1, 1, config);
+    for number in 0..12 {
+        simulation.add_minion(build_report(0, number));
+    }
+    // The burst needs 500 cores for two seconds, and the pool has 192.
+    let processor = Millicores(2_000);
+    let batch = JobBatch { jobs: 80, tasks: 5, processor, first_delay: 4_500, interval: 25 };
+    submit_batch(&mut simulation, &batch);
+    simulation.run_until(ORDERED_MS + 1_500);
+    let vms: Vec<VmId> = simulation.cloud.vms.keys().take(6).cloned().collect();
+    simulation.order_wave(1, vms.clone(), 6);
+    let count_begun = |simulation: &Simulation| {
+        vms.iter().filter(|vm| simulation.cloud.has_begun_maintenance(1, vm)).count()
+    };
+    simulation.run_until(ORDERED_MS + 3_500);
+    assert_eq!(count_begun(&simulation), 0, "VMs whose maintenance began during the burst");
+    simulation.run_until(ORDERED_MS + 1_500 + DURATION_MS);
+    assert_eq!(count_begun(&simulation), vms.len(), "VMs whose maintenance began in time");
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
