transport: header names of responses are spelled as before

Cause: the new server wrote them in lower case, which callers that compare names by letter would notice; scripts/demo.sh failed by it, in two checks for each daemon. Change: title case. The demo's checks pass again.

--- a/crates/transport/src/server/connection.rs
+++ b/crates/transport/src/server/connection.rs
@@ -37,6 +37,8 @@
     pub(super) fn new(listener: &Listener) -> Self {
         let mut http = http1::Builder::new();
         http.half_close(true)
+            // The spelling that `docs/INTERFACE.md` shows; callers may compare names by it.
+            .title_case_headers(true)
             // The connection table has the timeouts.
             .header_read_timeout(None)
             .max_buf_size(listener.limits.head_bytes);
