--- a/review/stand-2/http.rs
+++ b/review/stand-2/http.rs
@@ -8,7 +8,6 @@
 
 #[derive(Debug, Clone)]
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
@@ -115,7 +114,7 @@
         return None;
     }
     let mut words = line.split_whitespace();
-    let (method, url) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let url = words.nth(1)?.to_owned();
     let mut headers = Vec::new();
     loop {
         let mut line = String::new();
@@ -132,7 +131,7 @@
     let (path, query) = url.split_once('?').unwrap_or((&url, ""));
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = query.map(|(name, value)| (decode(name), decode(value))).collect();
-    let mut request = Request { method, path: path.to_owned(), query, headers, body: Vec::new() };
+    let mut request = Request { path: path.to_owned(), query, headers, body: Vec::new() };
     let length = request.header("Content-Length").and_then(|text| text.parse().ok()).unwrap_or(0);
     request.body = vec![0; length];
     reader.read_exact(&mut request.body).ok()?;
