--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -190,10 +190,10 @@
     let mut submit = |system: &System| {
         number += 1;
         let step =
-            Step { count: 32, cpu: 150, memory: 200, estimate_ms: 4_000, kind: String::new() };
+            Step { count: 32, cpu: 60, memory: 100, estimate_ms: 4_000, kind: String::new() };
         system.submit(&format!("{number:016x}"), "ms=4000", &[step], "")
     };
-    for at_ms in (0..8_000).step_by(600) {
+    for at_ms in (0..8_100).step_by(300) {
         sleep_until(began, at_ms);
         if !submit(&system) {
             return could_not_run("a job was not accepted");
