Pool owner: a VM is drained as long as one of the sets of drains has it

An accepted job that only this VM could run stayed queued on an idle pool.

Cause: a drain was kept in the sets of waves and offers and in a flag of the minion. drain_next_vms takes a VM with a mark out of the wave's set; the flag was reset only for VMs that are still in it.

Evidence: waves::vm_that_is_done_without_maintenance_gets_tasks_again failed before the change (the job is Queued, expected Complete).

Change: the flag is gone. PoolOwner::is_being_drained asks the sets, and unusable_reason is the one place that joins the reasons against a start. The same flag was reset by withdrawn offers while a wave drained the VM, and was not taken over by new incarnations. The roster leaves out minions that are not listed and have nothing to report: else a VM's earlier minion came back into it once the maintenance was over. The simulation starts a VM's next minion with the labels of the earlier one.

--- a/crates/fleet/src/pool/data_wait/rack.rs
+++ b/crates/fleet/src/pool/data_wait/rack.rs
@@ -90,15 +90,11 @@
 
     /// Whether a minion gets starts now, or will after a short pause.
     fn is_usable_later(&self, context: &StepContext, minion: &OwnedMinion) -> bool {
-        let is_evacuated =
-            context.shared.evacuated_data_centres.contains(&minion.report.data_centre);
-        let is_marked_down = self.maintenance.is_marked_down(minion.report.vm.as_ref());
-        let is_paused = match minion.unusable_reason(context.clock.now) {
+        match self.unusable_reason(context, minion) {
             None => true,
             Some(UnusableReason::Paused) => !minion.is_unresponsive,
             Some(_) => false,
-        };
-        !is_evacuated && !is_marked_down && is_paused
+        }
     }
 
     /// Returns the expected end of a run; `None` for a run that has none.
--- a/crates/fleet/src/pool/demand.rs
+++ b/crates/fleet/src/pool/demand.rs
@@ -46,6 +46,13 @@
     initial_vms: u32,
 }
 
+impl DemandState {
+    /// Whether a VM is drained to be offered, or is offered already.
+    pub(super) fn is_draining(&self, vm: &VmId) -> bool {
+        self.draining_vms.contains(vm)
+    }
+}
+
 impl PoolOwner {
     /// Recomputes the demand and writes it if it has changed. Without a spare pool in the
     /// configuration there is nothing to request or offer.
@@ -120,17 +127,12 @@
         }
     }
 
-    /// Whether a VM is drained to be offered, or is offered already.
-    pub(super) fn is_offered_or_draining(&self, vm: Option<&VmId>) -> bool {
-        vm.is_some_and(|vm| self.demand.draining_vms.contains(vm))
-    }
-
     /// Computes the VMs to request and to retain.
     fn compute_demand(&self, context: &StepContext) -> CapacityPlan {
         self.work.add(self.minions.len());
         let usable = self.minions.values().filter(|minion| {
             minion.is_listed
-                && !minion.is_being_drained
+                && !self.is_being_drained(minion)
                 && !minion.report.is_draining
                 && !context.shared.evacuated_data_centres.contains(&minion.report.data_centre)
         });
@@ -198,12 +200,8 @@
         }
         let wave_vms = vms_due_for_maintenance(context);
         for id in self.least_loaded_minions(&wave_vms, surplus) {
-            if let Some(minion) = self.minions.get_mut(&id)
-                && let Some(vm) = minion.report.vm.clone()
-            {
-                minion.is_being_drained = true;
-                self.demand.draining_vms.insert(vm);
-            }
+            let vm = self.minions.get(&id).and_then(|minion| minion.report.vm.clone());
+            self.demand.draining_vms.extend(vm);
         }
     }
 
@@ -215,7 +213,7 @@
     /// Counts the VMs that are present and are not being drained.
     fn count_retained_vms(&self) -> usize {
         let is_retained = |minion: &&OwnedMinion| {
-            minion.is_listed && !minion.is_being_drained && !minion.report.is_draining
+            minion.is_listed && !self.is_being_drained(minion) && !minion.report.is_draining
         };
         self.minions.values().filter(is_retained).count()
     }
@@ -226,7 +224,7 @@
         let may_drain = |minion: &&OwnedMinion| {
             minion.is_listed
                 && minion.is_fenced
-                && !minion.is_being_drained
+                && !self.is_being_drained(minion)
                 && !minion.report.is_draining
                 && minion.report.vm.as_ref().is_some_and(|vm| !wave_vms.contains(vm))
                 && minion.long_running_runs == 0
@@ -240,17 +238,11 @@
     /// `WITHDRAWN_OFFER_PAUSE`.
     fn withdraw_offers(&mut self, now: Moment) {
         let draining_vms = std::mem::take(&mut self.demand.draining_vms);
+        let written = &self.demand.written_demand;
         for minion in self.minions.values_mut() {
-            if minion.report.vm.as_ref().is_some_and(|vm| draining_vms.contains(vm)) {
-                minion.is_being_drained = false;
-                let was_offered = minion
-                    .report
-                    .vm
-                    .as_ref()
-                    .is_some_and(|vm| self.demand.written_demand.offered.contains(vm));
-                if was_offered {
-                    minion.starts_paused_until = now + WITHDRAWN_OFFER_PAUSE;
-                }
+            let was_offered = |vm: &VmId| draining_vms.contains(vm) && written.offered.contains(vm);
+            if minion.report.vm.as_ref().is_some_and(was_offered) {
+                minion.starts_paused_until = now + WITHDRAWN_OFFER_PAUSE;
             }
         }
     }
--- a/crates/fleet/src/pool/incarnation.rs
+++ b/crates/fleet/src/pool/incarnation.rs
@@ -28,13 +28,11 @@
         let Some(minion) = self.minions.get(id) else { return };
         let mut report = minion.report.clone();
         report.minion_incarnation = incarnation;
-        let is_being_drained = self.is_offered_or_draining(report.vm.as_ref());
         let Some(minion) = self.minions.get_mut(id) else { return };
         let (is_listed, is_hold_in_flight) = (minion.is_listed, minion.is_hold_in_flight);
         *minion = OwnedMinion::new(report, 0);
         minion.is_listed = is_listed;
         minion.is_hold_in_flight = is_hold_in_flight;
-        minion.is_being_drained = is_being_drained;
         context.out.log("minion", id, format!("incarnation {incarnation}"), "new incarnation");
         if uncertain_runs.is_empty() {
             return;
--- a/crates/fleet/src/pool/maintenance.rs
+++ b/crates/fleet/src/pool/maintenance.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use jobs::TaskName;
-use state::{Millis, MinionId, Moment, Revision, VmId};
+use state::{Millicores, Millis, MinionId, Moment, Revision, VmId};
 
 use super::job::position_of;
 use super::minion::{OwnedMinion, RunKey, RunPhase};
@@ -72,9 +72,10 @@
 }
 
 impl MaintenanceState {
-    /// Whether a VM is marked as down, so that whatever runs on it may end at any time.
-    pub(super) fn is_marked_down(&self, vm: Option<&VmId>) -> bool {
-        vm.is_some_and(|vm| self.down_vms.contains(vm))
+    /// Whether a VM is being drained for a wave, or is marked as down, so that whatever runs on it may
+    /// end at any time.
+    fn is_draining(&self, vm: &VmId) -> bool {
+        self.down_vms.contains(vm) || self.waves.values().any(|wave| wave.draining_vms.contains(vm))
     }
 }
 
@@ -93,6 +94,14 @@
         }
     }
 
+    /// Whether a minion gets no starts because its VM is being drained, for maintenance or to be
+    /// offered. The sets of VMs that are drained for each purpose decide, so a drain that is left out
+    /// of its set has ended.
+    pub(super) fn is_being_drained(&self, minion: &OwnedMinion) -> bool {
+        let vm = minion.report.vm.as_ref();
+        vm.is_some_and(|vm| self.maintenance.is_draining(vm) || self.demand.is_draining(vm))
+    }
+
     /// Notes which VMs the waves' records mark as down. A mark stands until the maintenance has ended,
     /// so it also holds for minions that this owner finds after the VM was marked.
     pub(super) fn note_down_vms(&mut self, context: &StepContext) {
@@ -162,7 +171,7 @@
                 vm: vm.clone(),
                 minion: minion.report.minion.clone(),
                 load: minion.used.processor.0,
-                is_drained: minion.is_being_drained && minion.is_drained(now),
+                is_drained: self.is_being_drained(minion) && minion.is_drained(now),
             })
         };
         let mut waiting: Vec<WaitingVm> = self.minions.values().filter_map(to_waiting).collect();
@@ -195,44 +204,27 @@
             if wave.draining_vms.len() >= count {
                 break;
             }
-            wave.draining_vms.insert(next.vm.clone());
+            if wave.draining_vms.insert(next.vm.clone()) {
+                let inputs = format!(
+                    "wave {}, {} reserved on {}",
+                    order.wave,
+                    Millicores(next.load),
+                    next.minion
+                );
+                context.out.log("upkeep", &next.vm, inputs, "emptying");
+            }
         }
         let is_draining = |waiting: &WaitingVm| wave.draining_vms.contains(&waiting.vm);
         let draining: Vec<WaitingVm> = waiting.into_iter().filter(is_draining).collect();
-        for WaitingVm { vm, minion, .. } in draining {
-            self.drain_vm(context, order, &vm, &minion);
+        for WaitingVm { minion, .. } in draining {
+            self.drain_minion(context, &minion, true);
         }
     }
 
-    /// Keeps new starts from a VM and stops what can continue elsewhere.
-    fn drain_vm(&mut self, context: &mut StepContext, order: &WaveOrder, vm: &VmId, id: &MinionId) {
-        if let Some(minion) = self.minions.get_mut(id)
-            && !minion.is_being_drained
-        {
-            minion.is_being_drained = true;
-            let inputs = format!("wave {}, {} runs on {id}", order.wave, minion.runs.len());
-            context.out.log("upkeep", vm, inputs, "emptying");
-        }
-        self.drain_minion(context, id, true);
-    }
-
-    /// Allows starts again on the VMs that were being drained for waves that are not incomplete any
-    /// more.
+    /// Ends the drains for waves that are not incomplete any more.
     fn cancel_drains(&mut self, incomplete: &[WaveOrder]) {
         let is_incomplete = |wave: &u64| incomplete.iter().any(|order| order.wave == *wave);
-        let waves = std::mem::take(&mut self.maintenance.waves);
-        let (waves, ended): (BTreeMap<_, _>, BTreeMap<_, _>) =
-            waves.into_iter().partition(|(wave, _)| is_incomplete(wave));
-        self.maintenance.waves = waves;
-        let vms: BTreeSet<VmId> = ended.into_values().flat_map(|wave| wave.draining_vms).collect();
-        if vms.is_empty() {
-            return;
-        }
-        for minion in self.minions.values_mut() {
-            if minion.report.vm.as_ref().is_some_and(|vm| vms.contains(vm)) {
-                minion.is_being_drained = false;
-            }
-        }
+        self.maintenance.waves.retain(|wave, _| is_incomplete(wave));
     }
 
     /// Drains minions that have reported that they will leave.
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -121,8 +121,6 @@
     pub(super) last_hold_at: Moment,
     /// Time before which no task is started on the minion.
     pub(super) starts_paused_until: Moment,
-    /// Whether the minion's VM is being drained, for maintenance or to be offered.
-    pub(super) is_being_drained: bool,
     /// Part of the capacity that may be used, in percent, by the judgement of its VM (`vm_health`).
     pub(super) weight: u8,
     /// Whether one task may start although the weight does not allow it.
@@ -157,16 +155,17 @@
             next_hold_at: Moment(0),
             last_hold_at: Moment(0),
             starts_paused_until: Moment(0),
-            is_being_drained: false,
             weight: FULL_WEIGHT,
             may_probe: false,
             is_rack_dark: false,
         }
     }
 
-    /// Returns why no task may be started on the minion, or `None` if tasks may be started.
+    /// Returns why no task may be started on the minion by its own state, or `None` if its state
+    /// allows starts. [`PoolOwner::unusable_reason`](super::PoolOwner::unusable_reason) has the other
+    /// reasons.
     pub(super) fn unusable_reason(&self, now: Moment) -> Option<UnusableReason> {
-        if self.report.is_draining || self.is_being_drained {
+        if self.report.is_draining {
             Some(UnusableReason::Draining)
         } else if !self.is_fenced || !self.is_in_roster || self.clock.is_none() {
             Some(UnusableReason::Unconfirmed)
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -72,8 +72,7 @@
                         report.minion_incarnation
                     );
                     context.out.log("minion", &report.minion, inputs, "found");
-                    let mut minion = OwnedMinion::new(report.clone(), last_saved_end);
-                    minion.is_being_drained = self.is_offered_or_draining(report.vm.as_ref());
+                    let minion = OwnedMinion::new(report.clone(), last_saved_end);
                     self.minions.insert(report.minion.clone(), minion);
                 }
             }
@@ -154,6 +153,8 @@
     fn send_hold(&mut self, context: &mut StepContext, id: &MinionId) {
         let now = context.clock.now;
         let has_uncertain_failures = self.has_uncertain_failures(id);
+        let is_being_drained =
+            self.minions.get(id).is_some_and(|minion| self.is_being_drained(minion));
         let Some(minion) = self.minions.get_mut(id) else { return };
         minion.is_hold_in_flight = true;
         minion.last_hold_at = now;
@@ -168,7 +169,7 @@
         // The hold must not wait on the minion in two cases: an uncertain failure must soon
         // be confirmed or discounted, and the VM of a minion that is being drained goes
         // down only after the minion has dropped its finished runs.
-        let is_urgent = minion.is_being_drained || has_uncertain_failures;
+        let is_urgent = is_being_drained || has_uncertain_failures;
         let is_acknowledged = minion.acknowledged_end >= minion.saved_end || !is_urgent;
         let may_wait =
             minion.is_fenced && minion.processed_end == minion.saved_end && is_acknowledged;
--- a/crates/fleet/src/pool/overload.rs
+++ b/crates/fleet/src/pool/overload.rs
@@ -138,7 +138,7 @@
         let evacuated = &context.shared.evacuated_data_centres;
         let usable = self.minions.values().filter(|minion| {
             minion.is_listed
-                && !minion.is_being_drained
+                && !self.is_being_drained(minion)
                 && !minion.report.is_draining
                 && !evacuated.contains(&minion.report.data_centre)
         });
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -129,13 +129,7 @@
         let mut capacity = PassCapacity::default();
         for (id, minion) in self.minions.iter().filter(|(_, minion)| minion.is_listed) {
             self.work.add(1);
-            let is_evacuated =
-                context.shared.evacuated_data_centres.contains(&minion.report.data_centre);
-            let is_marked_down = self.maintenance.is_marked_down(minion.report.vm.as_ref());
-            let reason = is_evacuated
-                .then_some(UnusableReason::Evacuated)
-                .or(is_marked_down.then_some(UnusableReason::Draining));
-            match reason.or_else(|| minion.unusable_reason(context.clock.now)) {
+            match self.unusable_reason(context, minion) {
                 None => capacity.add_minion(id.clone(), &minion.free_capacity()),
                 Some(reason) => capacity.note_unusable(reason, &minion.free_capacity()),
             }
@@ -143,6 +137,21 @@
         capacity
     }
 
+    /// Returns why no task may be started on a minion, or `None` if tasks may be started.
+    pub(super) fn unusable_reason(
+        &self,
+        context: &StepContext,
+        minion: &OwnedMinion,
+    ) -> Option<UnusableReason> {
+        if context.shared.evacuated_data_centres.contains(&minion.report.data_centre) {
+            Some(UnusableReason::Evacuated)
+        } else if self.is_being_drained(minion) {
+            Some(UnusableReason::Draining)
+        } else {
+            minion.unusable_reason(context.clock.now)
+        }
+    }
+
     /// Starts tasks of a group one by one, until none is left or no capacity is found.
     fn place_group(
         &mut self,
--- a/crates/fleet/src/pool/roster.rs
+++ b/crates/fleet/src/pool/roster.rs
@@ -41,10 +41,9 @@
     }
 
     /// Whether a minion has nothing to run or to report and gets no starts. Its VM may go down at any
-    /// time, and the next owner would wait for its answer until all leases have certainly expired.
+    /// time or has gone already, and the next owner would wait for its answer until all leases have certainly expired.
     fn is_drained_for_good(&self, minion: &OwnedMinion) -> bool {
-        let is_marked_down = self.maintenance.is_marked_down(minion.report.vm.as_ref());
-        (minion.is_being_drained || is_marked_down) && minion.is_idle()
+        (self.is_being_drained(minion) || !minion.is_listed) && minion.is_idle()
     }
 
     /// Builds the roster: minions that have answered this owner and may have runs, and minions of the
--- a/crates/fleet/tests/rules/simulation/environment.rs
+++ b/crates/fleet/tests/rules/simulation/environment.rs
@@ -25,13 +25,17 @@
         self.checker.draining_since.remove(minion);
     }
 
-    /// Adds a new minion on a VM that is up, unless the VM is in the spare pool.
+    /// Adds a new minion on a VM that is up, unless the VM is in the spare pool. It has the labels and
+    /// the capacity of an earlier one on this VM.
     pub fn start_minion_on_vm(&mut self, name: &VmId) {
         let pool = self.cloud.vms[name].pool.clone();
         if self.config.pools[&pool].is_spare {
             return;
         }
-        let report_template = self.report_template.clone().expect("a minion was added before");
+        let earlier = self.minions.values().rfind(|fake| fake.report.vm.as_ref() == Some(name));
+        let report_template = earlier.map(|fake| fake.report.clone());
+        let report_template = report_template.or(self.report_template.clone());
+        let report_template = report_template.expect("a minion was added before");
         let number = self.minions.len();
         let report = MinionReport {
             minion: format!("i-new-{number}").parse().expect("valid name"),
--- a/crates/fleet/tests/rules/waves.rs
+++ b/crates/fleet/tests/rules/waves.rs
@@ -1,10 +1,13 @@
 //! Maintenance waves that reach most VMs of a large pool while it is busy.
 
+use fleet::io::ItemValue;
 use fleet::model::WavePhase;
-use state::{Millicores, VmId};
+use fleet::{OwnKey, StoreKey};
+use jobs::{JobPhase, JobSpec, StepSpec};
+use state::{JobId, Millicores, Millis, VmId};
 
 use crate::seeded_runs::{JobBatch, build_config, build_report, submit_batch};
-use crate::simulation::Simulation;
+use crate::simulation::{PlannedJob, Simulation};
 
 /// Number of VMs of the pool, all of them in the wave.
 const MINIONS: usize = 60;
@@ -97,3 +100,49 @@
     assert_eq!(count_begun(&simulation), vms.len(), "VMs whose maintenance began in time");
     assert_eq!(simulation.checker.violations, Vec::new());
 }
+
+/// Builds an idle pool of four VMs, to which a VM with the label "b" is added at `joins_at`.
+fn build_joined_simulation(joins_at: u64) -> (Simulation, VmId) {
+    let mut simulation = Simulation::new(1, 3, build_config());
+    for number in 1..5 {
+        simulation.add_minion(build_report(0, number));
+    }
+    simulation.run_until(joins_at);
+    // The pool drains its idle VMs in the order of their minions' names.
+    let mut joining = build_report(0, 0);
+    joining.labels = vec!["b".into()];
+    let vm = joining.vm.clone().expect("a VM");
+    simulation.add_minion(joining);
+    (simulation, vm)
+}
+
+/// Submits a job whose only task needs the label "b".
+fn submit_labelled_job(simulation: &mut Simulation) -> JobId {
+    let mut step = StepSpec { tasks: 1, estimate: Millis(500), ..StepSpec::default() };
+    step.demand.processor = Millicores(1_000);
+    step.label = Some("b".into());
+    let spec = JobSpec { payload: "text".into(), steps: vec![step], timetable: None };
+    let team = "team-0".parse().expect("valid name");
+    let job: JobId = "5c0e7a21d94b36f8".parse().expect("valid name");
+    let planned = PlannedJob { team, spec, queue: 0, cancel_after: None };
+    simulation.plan_job(0, job.clone(), planned);
+    job
+}
+
+/// Guards against a VM that gets no task any more, because its drain was left out of the wave's list
+/// of drains while its minion still counted as being drained.
+#[test]
+fn vm_that_is_done_without_maintenance_gets_tasks_again() {
+    let (mut simulation, joined_vm) = build_joined_simulation(ORDERED_MS);
+    simulation.run_until(ORDERED_MS + 2_000);
+    // The cloud refuses no order, but carries none out either.
+    simulation.faults.is_cloud_down = true;
+    simulation.order_wave(1, vec![joined_vm.clone(), "vm-01".parse().expect("valid name")], 1);
+    simulation.run_until(simulation.now + 30);
+    let record = format!(r#"{{"vms":{{"{joined_vm}":"done"}}}}"#).into_bytes();
+    let key = StoreKey::Own(OwnKey::Wave(1));
+    simulation.store.put(key, ItemValue::Own(record.into()), None);
+    let job = submit_labelled_job(&mut simulation);
+    simulation.run_until(simulation.now + 6_000);
+    assert_eq!(simulation.checker.jobs[&job].phase, Some(JobPhase::Complete));
+}
