VM controller: a VM is gone only by a list that is newer than the wave's order

Cause: mark_maintained marked a VM that the list lacks as done. Without orders the list is read every 3 s and accepted up to 4 s, so it may be older than the order, and the VM younger than the list.

Change: the controller notes when it first saw an order, and takes a VM as gone only by a list that was requested later, once no other VM of the wave is left. A VM that comes back before is maintained; one that was marked as down and is gone gives its place back. A refused order is not taken for maintenance that was done.

--- a/crates/fleet/src/vm_controller/mod.rs
+++ b/crates/fleet/src/vm_controller/mod.rs
@@ -56,10 +56,11 @@
     /// Wave and revision of the last wave progress that this owner wrote.
     last_write: (u64, Revision),
     next_write_at: Moment,
+    /// Time at which this owner first saw each incomplete wave.
+    waves_seen_at: BTreeMap<u64, Moment>,
     /// VMs with an order that is not answered yet.
     pending_orders: BTreeSet<VmId>,
-    /// VMs whose maintenance order was carried out or refused, with the time of the
-    /// answer, by wave and VM.
+    /// VMs whose maintenance order was carried out, with the time of the answer, by wave and VM.
     maintenance_answered_at: BTreeMap<(u64, VmId), Moment>,
     /// Target pool and time of the order for each moved VM, kept until the VM list
     /// certainly shows the move.
@@ -83,6 +84,7 @@
             is_write_in_flight: false,
             last_write: (0, Revision(0)),
             next_write_at: Moment(0),
+            waves_seen_at: BTreeMap::new(),
             pending_orders: BTreeSet::new(),
             maintenance_answered_at: BTreeMap::new(),
             recent_moves: BTreeMap::new(),
@@ -105,6 +107,7 @@
         let is_busy = !incomplete_waves.is_empty()
             || !self.recent_moves.is_empty()
             || self.has_demands(context);
+        self.note_waves(context.clock.now, &incomplete_waves);
         self.list_vms(context, is_busy);
         if !self.may_order(context) {
             return;
@@ -311,7 +314,7 @@
                 self.pending_orders.remove(&vm);
                 self.log_order(context, "upkeep", &vm, &answer);
                 match answer {
-                    CloudAnswer::Done | CloudAnswer::Refused(_) => {
+                    CloudAnswer::Done => {
                         self.maintenance_answered_at.insert((wave, vm), now);
                     }
                     _ => self.next_order_at = now + VM_LIST_INTERVAL,
--- a/crates/fleet/src/vm_controller/waves.rs
+++ b/crates/fleet/src/vm_controller/waves.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 
-use state::{Revision, VmId};
+use state::{Moment, Revision, VmId};
 
 use super::{VmController, VmControllerCall, is_spare_pool};
 use crate::io::{CloudCall, PutValue, StoreCall, StoreCommit, StorePut};
@@ -14,6 +14,15 @@
 use crate::records::{VmMaintenance, WaveProgressDoc, encode};
 
 impl VmController {
+    /// Notes when this owner first saw each incomplete wave.
+    pub(super) fn note_waves(&mut self, now: Moment, incomplete_waves: &[WaveOrder]) {
+        let is_incomplete = |wave: &u64| incomplete_waves.iter().any(|order| order.wave == *wave);
+        self.waves_seen_at.retain(|wave, _| is_incomplete(wave));
+        for order in incomplete_waves {
+            self.waves_seen_at.entry(order.wave).or_insert(now);
+        }
+    }
+
     pub(super) fn update_wave(&mut self, context: &mut StepContext, order: &WaveOrder) {
         let progress = wave_progress_of(context, order.wave);
         self.order_maintenance(context, order, &progress);
@@ -28,6 +37,7 @@
         }
         let mut next_progress = progress.clone();
         self.mark_maintained(&mut next_progress, order);
+        self.mark_gone_vms(&mut next_progress, order);
         self.mark_spare_vms(context, &mut next_progress, order);
         if next_progress != progress || revision.0 == 0 {
             self.write_progress(context, order, revision, &next_progress);
@@ -63,26 +73,36 @@
         }
     }
 
-    /// Marks the VMs that are up again after maintenance and those that no longer
-    /// exist.
+    /// Marks the VMs that are up again after maintenance.
     fn mark_maintained(&self, progress: &mut WaveProgressDoc, order: &WaveOrder) {
         let Some(listed_at) = self.listed_at else { return };
-        for vm in &order.vms {
-            let state = progress.vms.get(vm).copied();
-            if state == Some(VmMaintenance::Done) {
-                continue;
+        for (vm, state) in &mut progress.vms {
+            let is_up = self.vms.get(vm).is_some_and(|known| known.phase == VmPhase::Up);
+            let answered_at = self.maintenance_answered_at.get(&(order.wave, vm.clone()));
+            let is_over = answered_at.is_some_and(|at| *at < listed_at);
+            if is_up && is_over {
+                *state = VmMaintenance::Done;
             }
-            let is_done = match self.vms.get(vm) {
-                None => true,
-                Some(known) => {
-                    let answered_at = self.maintenance_answered_at.get(&(order.wave, vm.clone()));
-                    known.phase == VmPhase::Up
-                        && state == Some(VmMaintenance::Down)
-                        && answered_at.is_some_and(|at| *at < listed_at)
-                }
-            };
-            if is_done {
+        }
+    }
+
+    /// Marks the VMs that no longer exist as done when no other VM of the wave is left, and gives back
+    /// the places of those that were marked as down. A VM that comes back before then is maintained. A
+    /// list that was requested before the order was seen shows nothing of the order's VMs.
+    fn mark_gone_vms(&mut self, progress: &mut WaveProgressDoc, order: &WaveOrder) {
+        let seen_at = self.waves_seen_at.get(&order.wave);
+        if !seen_at.zip(self.listed_at).is_some_and(|(seen_at, listed_at)| listed_at >= *seen_at) {
+            return;
+        }
+        let is_done = |vm: &VmId| progress.vms.get(vm) == Some(&VmMaintenance::Done);
+        let (gone, present): (Vec<&VmId>, Vec<&VmId>) =
+            order.vms.iter().filter(|vm| !is_done(vm)).partition(|vm| !self.vms.contains_key(*vm));
+        for vm in gone {
+            if present.is_empty() {
                 progress.vms.insert(vm.clone(), VmMaintenance::Done);
+            } else {
+                progress.vms.remove(vm);
+                self.maintenance_answered_at.remove(&(order.wave, vm.clone()));
             }
         }
     }
--- a/crates/fleet/tests/rules/waves.rs
+++ b/crates/fleet/tests/rules/waves.rs
@@ -4,6 +4,7 @@
 use fleet::model::WavePhase;
 use fleet::{OwnKey, StoreKey};
 use jobs::{JobPhase, JobSpec, StepSpec};
+use rstest::rstest;
 use state::{JobId, Millicores, Millis, VmId};
 
 use crate::seeded_runs::{JobBatch, build_config, build_report, submit_batch};
@@ -146,3 +147,59 @@
     simulation.run_until(simulation.now + 6_000);
     assert_eq!(simulation.checker.jobs[&job].phase, Some(JobPhase::Complete));
 }
+
+/// Guards against a wave that is said to be complete although a VM of it, which joined after the VM list
+/// had been read, has not begun its maintenance.
+#[rstest]
+fn wave_has_the_vm_that_joined_shortly_before(
+    #[values(0, 500, 1_000, 1_500, 2_000, 2_500)] list_phase: u64,
+) {
+    let (mut simulation, joined_vm) = build_joined_simulation(ORDERED_MS + list_phase);
+    simulation.run_until(simulation.now + 500);
+    let vms = vec![joined_vm, "vm-01".parse().expect("valid name")];
+    simulation.order_wave(1, vms.clone(), 1);
+    let is_complete = |simulation: &Simulation| {
+        simulation.store.wave_statuses.contains(&(1, WavePhase::Complete))
+    };
+    let limit = simulation.now + DURATION_MS;
+    while !is_complete(&simulation) && simulation.now < limit {
+        simulation.run_until(simulation.now + 50);
+    }
+    let begun = vms.iter().map(|vm| simulation.cloud.has_begun_maintenance(1, vm));
+    assert_eq!((is_complete(&simulation), begun.collect()), (true, vec![true, true]));
+    let job = submit_labelled_job(&mut simulation);
+    simulation.run_until(simulation.now + 6_000);
+    assert_eq!(simulation.checker.jobs[&job].phase, Some(JobPhase::Complete));
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
+
+/// Guards against a wave that is said to be complete without a VM that the list lacked for a while.
+#[test]
+fn wave_has_the_vm_that_came_back() {
+    let (mut simulation, away_vm) = build_joined_simulation(ORDERED_MS);
+    simulation.run_until(ORDERED_MS + 4_000);
+    let vms: Vec<VmId> = simulation.cloud.vms.keys().take(3).cloned().collect();
+    let away = simulation.cloud.vms.remove(&away_vm).expect("a VM");
+    simulation.order_wave(1, vms.clone(), 1);
+    simulation.run_until(simulation.now + 1_500);
+    simulation.cloud.vms.insert(away_vm, away);
+    simulation.run_until(simulation.now + DURATION_MS);
+    assert_eq!(simulation.store.wave_statuses.last(), Some(&(1, WavePhase::Complete)));
+    let begun = vms.iter().filter(|vm| simulation.cloud.has_begun_maintenance(1, vm)).count();
+    assert_eq!(begun, vms.len(), "VMs whose maintenance began");
+}
+
+/// Guards against a wave that never ends because one of its VMs is gone.
+#[test]
+fn wave_ends_without_the_vm_that_is_gone() {
+    let (mut simulation, gone_vm) = build_joined_simulation(ORDERED_MS);
+    simulation.run_until(ORDERED_MS + 4_000);
+    let vms: Vec<VmId> = simulation.cloud.vms.keys().take(3).cloned().collect();
+    let gone = simulation.cloud.vms.remove(&gone_vm).expect("a VM");
+    simulation.crash_minion(&gone.minion.expect("a minion"));
+    simulation.order_wave(1, vms.clone(), 1);
+    simulation.run_until(simulation.now + DURATION_MS);
+    assert_eq!(simulation.store.wave_statuses.last(), Some(&(1, WavePhase::Complete)));
+    let begun = vms.iter().filter(|vm| simulation.cloud.has_begun_maintenance(1, vm)).count();
+    assert_eq!(begun, vms.len() - 1, "VMs whose maintenance began");
+}
