--- a/crates/fleet/src/vm_controller/waves.rs
+++ b/crates/fleet/src/vm_controller/waves.rs
@@ -90,8 +90,8 @@
     /// the places of those that were marked as down. A VM that comes back before then is maintained. A
     /// list that was requested before the order was seen shows nothing of the order's VMs.
     fn mark_gone_vms(&mut self, progress: &mut WaveProgressDoc, order: &WaveOrder) {
-        let seen_at = self.waves_seen_at.get(&order.wave);
-        if !seen_at.zip(self.listed_at).is_some_and(|(seen_at, listed_at)| listed_at >= *seen_at) {
+        let Some(seen_at) = self.waves_seen_at.get(&order.wave) else { return };
+        if self.listed_at.is_none_or(|listed_at| listed_at < *seen_at) {
             return;
         }
         let is_done = |vm: &VmId| progress.vms.get(vm) == Some(&VmMaintenance::Done);
