Timed jobs: a bounded number of open occurrences

Cause: every due occurrence was opened in one step, each end visited all of them, and the stored progress kept the marks of each for good.

Evidence: without the change timetables::many_due_occurrences_leave_room_for_other_jobs did not end within 100 s with 20,000 occurrences, and timetables::extreme_timetables_are_carried (all due) ended for want of memory at 3 GB.

Change: at most 256 open occurrences (4,096 tasks) a job; marks of done occurrences are dropped, and the record holds how many were opened. Records of earlier versions are read.

--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -248,19 +248,19 @@
         }
     }
 
-    /// Opens the steps of timetabled jobs that have become due.
-    pub(super) fn open_due_steps(&mut self, context: &mut StepContext) {
+    /// Opens the occurrences of timetabled jobs that have become due.
+    pub(super) fn open_due_occurrences(&mut self, context: &mut StepContext) {
         let wall_ms = context.clock.wall_ms;
         let timetabled = self.jobs.timetabled_jobs();
         self.work.add(timetabled.len());
         let due: Vec<JobId> = timetabled
             .iter()
-            .filter(|job| self.jobs[job].has_new_due_occurrence(wall_ms))
+            .filter(|job| self.jobs[job].may_open_occurrence(wall_ms))
             .cloned()
             .collect();
         for name in due {
             if let Some(job) = self.jobs.get_mut(&name) {
-                job.open_steps(wall_ms);
+                job.open_due_occurrences(wall_ms);
             }
         }
     }
--- a/crates/fleet/src/pool/finished.rs
+++ b/crates/fleet/src/pool/finished.rs
@@ -88,7 +88,7 @@
             let job = task.job.clone();
             self.stop_job(context, &job);
         } else if job.progress.is_step_done(&job.spec, occurrence, step) {
-            job.open_steps(context.clock.wall_ms);
+            job.advance_occurrence(occurrence, context.clock.wall_ms);
         }
     }
 }
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -63,10 +63,12 @@
     pub(super) checkpoints: BTreeMap<TaskPosition, Box<str>>,
     /// Failures that are counted in the progress but may still be discounted.
     pub(super) failures: Vec<PendingFailure>,
-    /// Occurrences and steps whose tasks were already made ready.
+    /// Occurrences whose tasks may run; [`max_open_occurrences`] bounds their number.
+    open_occurrences: BTreeSet<u32>,
+    /// Steps of open occurrences whose tasks were already made ready.
     opened_steps: BTreeSet<(u32, u16)>,
-    /// Number of occurrences that were due when steps were last opened.
-    due_occurrences: u32,
+    /// Occurrence that is opened next.
+    next_occurrence: u32,
     /// Number of runs that this owner has numbered.
     started_runs: u64,
     /// Whether the progress must be saved.
@@ -108,8 +110,9 @@
             live: BTreeMap::new(),
             checkpoints: BTreeMap::new(),
             failures: Vec::new(),
+            open_occurrences: BTreeSet::new(),
             opened_steps: BTreeSet::new(),
-            due_occurrences: 0,
+            next_occurrence: 0,
             started_runs: 0,
             is_progress_dirty: false,
             saved_through: 0,
@@ -157,26 +160,50 @@
         self.phase.is_final() && self.live.is_empty() && !self.may_have_unknown_runs
     }
 
-    /// Makes the tasks of each step ready that is due and whose preceding steps are done.
-    pub(super) fn open_steps(&mut self, wall_ms: u64) {
-        if self.phase.is_final() {
-            return;
-        }
-        for occurrence in 0..self.spec.occurrences() {
-            if self.spec.due_ms(occurrence) > wall_ms {
-                break;
+    /// Opens the occurrences that are due, as far as the bound on open occurrences allows.
+    pub(super) fn open_due_occurrences(&mut self, wall_ms: u64) {
+        while self.may_open_occurrence(wall_ms) {
+            let occurrence = self.next_occurrence;
+            self.next_occurrence += 1;
+            if self.spec.timetable.is_some() {
+                self.progress.open_next();
             }
-            self.due_occurrences = self.due_occurrences.max(occurrence + 1);
-            for step in 0..self.spec.steps.len() as u16 {
-                self.open_step(occurrence, step);
+            if !self.progress.close_if_done(&self.spec, occurrence) {
+                self.open_occurrences.insert(occurrence);
+                self.open_steps(occurrence);
             }
         }
     }
 
-    /// Whether an occurrence has become due since steps were last opened.
-    pub(super) fn has_new_due_occurrence(&self, wall_ms: u64) -> bool {
-        self.due_occurrences < self.spec.occurrences()
-            && self.spec.due_ms(self.due_occurrences) <= wall_ms
+    /// Whether the next occurrence is due and may be opened.
+    pub(super) fn may_open_occurrence(&self, wall_ms: u64) -> bool {
+        self.next_occurrence < self.spec.occurrences()
+            && self.spec.due_ms(self.next_occurrence) <= wall_ms
+            && self.open_occurrences.len() < max_open_occurrences(&self.spec)
+            && !self.phase.is_final()
+    }
+
+    /// Opens what follows a step that is done: the steps after it, or, if its occurrence is done,
+    /// occurrences that have waited for a place.
+    pub(super) fn advance_occurrence(&mut self, occurrence: u32, wall_ms: u64) {
+        if !self.progress.close_if_done(&self.spec, occurrence) {
+            return self.open_steps(occurrence);
+        }
+        self.open_occurrences.remove(&occurrence);
+        for step in 0..self.spec.steps.len() as u16 {
+            self.opened_steps.remove(&(occurrence, step));
+        }
+        self.open_due_occurrences(wall_ms);
+    }
+
+    /// Makes the tasks of each step of an open occurrence ready whose preceding steps are done.
+    fn open_steps(&mut self, occurrence: u32) {
+        if self.phase.is_final() || !self.open_occurrences.contains(&occurrence) {
+            return;
+        }
+        for step in 0..self.spec.steps.len() as u16 {
+            self.open_step(occurrence, step);
+        }
     }
 
     fn open_step(&mut self, occurrence: u32, step: u16) {
@@ -246,6 +273,11 @@
     /// record was written are uncertain again.
     pub(super) fn restore_progress(&mut self, record: ProgressRecord) {
         self.progress = record.progress;
+        self.next_occurrence = self.progress.opened();
+        self.open_occurrences = self.progress.open_occurrences();
+        for occurrence in self.open_occurrences.clone() {
+            self.open_steps(occurrence);
+        }
         let to_pending = |details| PendingFailure { details, is_acknowledgement_sent: false };
         self.failures = record.uncertain_failures.into_iter().map(to_pending).collect();
     }
@@ -260,7 +292,11 @@
             matches!(mark, TaskMark::Open(failed) if u32::from(failed) >= self.terms.max_attempts)
                 && !is_uncertain
         };
-        let positions = self.ready.iter().flat_map(|((occurrence, step), tasks)| {
+        let may_have_exhausted = |(occurrence, step): &(u32, u16)| {
+            self.terms.max_attempts == 0 || self.progress.has_failed_tasks(*occurrence, *step)
+        };
+        let steps = self.ready.iter().filter(|(step, _)| may_have_exhausted(step));
+        let positions = steps.flat_map(|((occurrence, step), tasks)| {
             tasks.iter().map(|index| (*occurrence, *step, *index))
         });
         positions.into_iter().find(is_exhausted)
@@ -287,9 +323,11 @@
         self.live.range(range).filter(|(_, live)| live.minion == *minion).count() as u32
     }
 
-    /// Returns the earliest occurrence with ready tasks, or 0.
-    pub(super) fn next_occurrence(&self) -> u32 {
-        self.ready.keys().next().map_or(0, |(occurrence, _)| *occurrence)
+    /// Returns the earliest occurrence with ready tasks, else the earliest one that is not done.
+    pub(super) fn first_occurrence(&self) -> u32 {
+        let first_ready = self.ready.keys().next().map(|(occurrence, _)| *occurrence);
+        let first_open = || self.open_occurrences.first().copied();
+        first_ready.or_else(first_open).unwrap_or(self.next_occurrence)
     }
 
     /// Replaces the expected run times; there is one for each step.
@@ -326,7 +364,7 @@
 
     /// Returns the time from which the objective counts, in milliseconds since 1970.
     fn earliest_start_ms(&self) -> u64 {
-        self.spec.due_ms(self.next_occurrence()).max(self.accepted_ms)
+        self.spec.due_ms(self.first_occurrence()).max(self.accepted_ms)
     }
 
     fn objective_span(&self) -> Millis {
@@ -349,13 +387,12 @@
 
     /// Lists the steps of the next occurrence with tasks that have not started.
     fn unstarted_steps(&self) -> Box<[StepLoad]> {
-        let occurrence = self.next_occurrence();
+        let occurrence = self.first_occurrence();
         let paths = self.remaining_paths();
         let to_load = |(index, step): (usize, &StepSpec)| {
             let number = index as u16;
-            let done = self.progress.done_tasks(occurrence, number);
             let live = self.live.range((occurrence, number, 0)..=(occurrence, number, u32::MAX));
-            let open = u64::from(step.tasks.saturating_sub(done));
+            let open = u64::from(self.progress.open_tasks(&self.spec, occurrence, number));
             let unstarted = open.saturating_sub(live.count() as u64);
             let run_time = self.expected_run_time(index);
             let task_work = reservation_for(step).processor.0.saturating_mul(run_time.0);
@@ -381,6 +418,15 @@
     }
 }
 
+/// Returns how many occurrences of a job may be open at one time. What an owner keeps of a job, what it
+/// does when a run ends, and the size of the stored progress grow with this number.
+fn max_open_occurrences(spec: &JobSpec) -> usize {
+    const MAX_OPEN_OCCURRENCES: u64 = 256;
+    const MAX_OPEN_TASKS: u64 = 4_096;
+    let tasks: u64 = spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
+    (MAX_OPEN_TASKS / tasks.max(1)).clamp(1, MAX_OPEN_OCCURRENCES) as usize
+}
+
 /// Builds a task's full name from its job and its position.
 pub(super) fn task_name(job: &JobId, position: TaskPosition) -> TaskName {
     TaskName { job: job.clone(), occurrence: position.0, step: position.1, index: position.2 }
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -298,7 +298,7 @@
         owned.restore_progress(progress);
         owned.has_stored_progress = progress_revision.0 > 0;
         owned.may_have_unknown_runs = may_have_unknown_runs;
-        owned.open_steps(context.clock.wall_ms);
+        owned.open_due_occurrences(context.clock.wall_ms);
         let inputs = format!("revision {revision}, {phase}, {} steps", owned.spec.steps.len());
         context.out.log("job", job, inputs, "taken");
         self.jobs.insert(job.clone(), owned);
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -334,7 +334,7 @@
     /// Performs the work that depends on time rather than on an answer.
     pub(crate) fn on_tick(&mut self, context: &mut StepContext) {
         self.retry_load(context);
-        self.open_due_steps(context);
+        self.open_due_occurrences(context);
         self.expire_leases(context);
         self.resend_stops(context);
         self.update_maintenance(context);
--- a/crates/fleet/src/pool/ready_queue.rs
+++ b/crates/fleet/src/pool/ready_queue.rs
@@ -145,14 +145,16 @@
     }
 }
 
-/// Lists a job's groups of ready tasks with at least one task that has attempts left.
+/// Lists a job's groups of ready tasks with at least one task that has attempts left, in the order of
+/// occurrences and steps.
 fn list_ready_groups(owned: &OwnedJob, previous: &[ReadyGroup], wall_ms: u64) -> Box<[ReadyGroup]> {
     let to_group = |(&(occurrence, step), tasks): (&(u32, u16), &Vec<u32>)| {
         let spec = owned.spec.steps.get(usize::from(step))?;
         let may_start =
             |index: &u32| spec.long_running || owned.has_attempts_left((occurrence, step, *index));
-        let known =
-            previous.iter().find(|group| (group.occurrence, group.step) == (occurrence, step));
+        let position = |group: &ReadyGroup| (group.occurrence, group.step);
+        let known = previous.binary_search_by_key(&(occurrence, step), position);
+        let known = known.ok().map(|index| &previous[index]);
         tasks.iter().any(may_start).then(|| ReadyGroup {
             occurrence,
             step,
--- a/crates/fleet/src/pool/work_estimate.rs
+++ b/crates/fleet/src/pool/work_estimate.rs
@@ -111,7 +111,7 @@
     let mut work: u64 = 0;
     for (number, step) in job.spec.steps.iter().enumerate() {
         let number = number as u16;
-        let open = u64::from(step.tasks.saturating_sub(job.progress.done_tasks(0, number)));
+        let open = u64::from(job.progress.open_tasks(&job.spec, 0, number));
         let run_time = job.expected_run_time(usize::from(number));
         let step_work = open.saturating_mul(step.demand.processor.0).saturating_mul(run_time.0);
         let counted = if job.ready.contains_key(&(0, number)) { step_work } else { step_work / 2 };
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -30,5 +30,6 @@
 mod stalls;
 mod store;
 mod throughput;
+mod timetables;
 mod vm_health;
 mod waves;
--- a/crates/jobs/tests/model.rs
+++ b/crates/jobs/tests/model.rs
@@ -62,6 +62,65 @@
     assert!(progress.is_complete(&spec));
 }
 
+fn timetabled_job(occurrences: u32) -> JobSpec {
+    let mut spec = job(vec![step(2, 1, &[]), step(1, 1, &[0])]);
+    spec.timetable = Some(Timetable { first_due_ms: 0, interval: Millis(1), occurrences });
+    spec
+}
+
+fn finish_occurrence(progress: &mut JobProgress, spec: &JobSpec, occurrence: u32) {
+    for (step, index) in [(0, 0), (0, 1), (1, 0)] {
+        progress.set_mark(occurrence, step, index, TaskMark::Done);
+    }
+    progress.close_if_done(spec, occurrence);
+}
+
+/// Guards against a stored record that grows with each occurrence that is done.
+#[test]
+fn progress_keeps_no_marks_of_occurrences_that_are_done() {
+    let spec = timetabled_job(100_000);
+    let mut progress = JobProgress::default();
+    assert!(progress.is_empty());
+    for occurrence in 0..50_000 {
+        assert_eq!(progress.open_next(), occurrence);
+        if occurrence != 7 {
+            finish_occurrence(&mut progress, &spec, occurrence);
+        }
+    }
+    progress.set_mark(7, 0, 1, TaskMark::Done);
+    assert_eq!((progress.open_next(), progress.open_next()), (50_000, 50_001));
+    let text = serde_json::to_string(&progress).expect("progress serialises");
+    insta::assert_snapshot!(text, @r#"{"7.0":".d","50000.0":"","50001.0":"","opened":"50002"}"#);
+    let decoded: JobProgress = serde_json::from_str(&text).expect("progress deserialises");
+    assert_eq!(decoded, progress);
+    assert_eq!(decoded.mark(6, 1, 0), TaskMark::Done);
+    assert_eq!(decoded.mark(7, 1, 0), TaskMark::Open(0), "its occurrence is open");
+    assert_eq!(decoded.mark(50_002, 0, 0), TaskMark::Open(0), "its occurrence was not opened");
+    assert_eq!(decoded.open_tasks(&spec, 7, 0), 1);
+    assert_eq!(decoded.open_occurrences().into_iter().collect::<Vec<_>>(), [7, 50_000, 50_001]);
+    assert!(!decoded.is_empty() && !decoded.is_complete(&spec));
+}
+
+/// Guards against occurrences that run again because an earlier version has stored their marks.
+#[test]
+fn progress_of_earlier_versions_is_read() {
+    let spec = timetabled_job(3);
+    let text = r#"{"0.0":"dd","0.1":"d","1.0":"dd","2.0":"2."}"#;
+    let mut progress: JobProgress = serde_json::from_str(text).expect("progress deserialises");
+    let mut is_done = Vec::new();
+    for _ in 0..3 {
+        let occurrence = progress.open_next();
+        is_done.push(progress.close_if_done(&spec, occurrence));
+    }
+    assert_eq!(is_done, [true, false, false]);
+    assert_eq!(progress.mark(2, 0, 0), TaskMark::Open(2));
+    progress.set_mark(1, 1, 0, TaskMark::Done);
+    progress.close_if_done(&spec, 1);
+    assert!(!progress.is_complete(&spec));
+    finish_occurrence(&mut progress, &spec, 2);
+    assert!(progress.is_complete(&spec));
+}
+
 #[rstest]
 #[case("5c0e7a21d94b36f8.0.1.17", true)]
 #[case("a.b.0.1.17", true)]
