Logs: no thread but one waits for their reader

Cause: lines were written in the thread that logged. One thread in a write that doesn't return holds the lock of standard output, and the threads that hold the state machine, renew the lease, accept connections and handle signals waited for it. The readiness flag is set by steps only.

Change: LogQueue, a bounded queue with one writing thread; lines that find it full are dropped, counted and told of later. Panics and the reason of a failure go the same way. A daemon whose state machine has not stepped for 1.5 s is not ready.

--- a/crates/daemon/src/core_host.rs
+++ b/crates/daemon/src/core_host.rs
@@ -71,8 +71,8 @@
         }
     }
 
-    /// Passes a decision to the log thread. When the channel is full, the calling thread logs the
-    /// decision itself, so that no line is lost.
+    /// Passes a decision to the log thread. When the channel is full, the calling thread formats the
+    /// line itself; it is lost only if the queue of lines is full too.
     fn log_decision(&self, decision: Decision) {
         if let Err(TrySendError::Full(decision) | TrySendError::Disconnected(decision)) =
             self.senders.decisions.try_send(decision)
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -1,22 +1,34 @@
 //! Sets up structured logs on standard error, and writes one line for each decision.
+//!
+//! The lines go through the [`LogQueue`], so no thread waits for their reader.
 
 use coordination::Decision;
 use state::{DaemonSettings, LogFormat};
 use tracing_subscriber::EnvFilter;
 
-/// Starts logging to standard error, with the format and filter of the settings.
+use crate::log_queue::LogQueue;
+
+/// Starts logging to standard error, with the format and filter of the settings, and returns the queue
+/// of the lines.
 ///
 /// # Errors
 ///
-/// Returns the reason why `log_filter` of the settings cannot be parsed.
-pub fn start(settings: &DaemonSettings) -> Result<(), String> {
-    let filter = EnvFilter::try_new(&settings.log_filter).map_err(|error| error.to_string())?;
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+/// Returns the reason why `log_filter` of the settings cannot be parsed, or why the thread of the
+/// queue cannot be started.
+pub fn start(settings: &DaemonSettings) -> Result<LogQueue, String> {
+    let filter =
+        EnvFilter::try_new(&settings.log_filter).map_err(|error| format!("log_filter: {error}"))?;
+    let queue = LogQueue::start(std::io::stderr())
+        .map_err(|error| format!("cannot start the log thread: {error}"))?;
+    let writer = queue.clone();
+    let builder =
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(move || writer.clone());
     match settings.log_format {
         LogFormat::Plain => builder.with_ansi(false).init(),
         LogFormat::Json => builder.json().flatten_event(true).init(),
     }
-    Ok(())
+    LogQueue::redirect_panics();
+    Ok(queue)
 }
 
 /// Logs one routing or placement decision.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,6 +7,7 @@
 mod channels;
 mod core_host;
 mod line_budget;
+mod log_queue;
 mod logs;
 mod metrics;
 mod request_threads;
@@ -17,6 +18,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bpaf::Bpaf;
 use crossbeam::channel::bounded;
@@ -27,6 +29,11 @@
 use core_host::CoreHost;
 use metrics::MetricsExporter;
 
+/// Time for the reason of a failure to be written before the process ends.
+const FAILURE_WRITE_DELAY: Duration = Duration::from_millis(100);
+/// Time for the last lines to be written after a graceful stop.
+const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Routes a fleet's requests, runs its jobs, enforces its limits and does its maintenance.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
@@ -47,12 +54,23 @@
     match run(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("pollenfalld: {error:#}");
+            report_failure(&error);
             ExitCode::FAILURE
         }
     }
 }
 
+/// Says why the daemon ends: in the log once it is set up, which waits for no reader, else on standard
+/// error.
+fn report_failure(error: &eyre::Report) {
+    if tracing::dispatcher::has_been_set() {
+        tracing::error!("pollenfalld: {error:#}");
+        std::thread::sleep(FAILURE_WRITE_DELAY);
+    } else {
+        eprintln!("pollenfalld: {error:#}");
+    }
+}
+
 fn run(arguments: &Arguments) -> Result<()> {
     if arguments.platform {
         return run_on_platform(arguments);
@@ -66,8 +84,10 @@
         println!("{}: no faults", path.display());
         return Ok(());
     }
-    logs::start(&settings).map_err(|reason| eyre!("log_filter: {reason}"))?;
-    serve(settings)
+    let log_queue = logs::start(&settings).map_err(|reason| eyre!("{reason}"))?;
+    serve(settings)?;
+    log_queue.wait_until_written(LAST_LINES_TIMEOUT);
+    Ok(())
 }
 
 fn run_on_platform(arguments: &Arguments) -> Result<()> {
--- a/crates/daemon/src/runtime/decision_log.rs
+++ b/crates/daemon/src/runtime/decision_log.rs
@@ -1,7 +1,8 @@
 //! Writes decisions to standard output as JSON lines, at a limited rate.
 //!
-//! The log thread receives the lines over a bounded channel, writes at most
-//! [`MAX_LINES_PER_SECOND`] lines per second and reports how many lines it dropped.
+//! The log thread receives the decisions over a bounded channel, formats at most
+//! [`MAX_LINES_PER_SECOND`] lines per second and reports how many lines it dropped. All lines of the
+//! daemon go to standard output through the [`LogQueue`].
 
 use std::io;
 use std::time::Duration;
@@ -10,27 +11,33 @@
 use fleet::DecisionLine;
 
 use crate::line_budget::LineBudget;
+use crate::log_queue::LogQueue;
 
 /// Maximum number of lines that wait for the log thread.
 const CHANNEL_CAPACITY: usize = 2_048;
 const MAX_LINES_PER_SECOND: u32 = 600;
 /// Maximum length of a text that contains a client's bytes, such as the path of a request.
 const MAX_CLIENT_TEXT_BYTES: usize = 256;
-/// Time for the log thread to write the last lines before the process ends.
-const FLUSH_DELAY: Duration = Duration::from_millis(30);
+/// Time for the log thread to format the last lines before the process ends.
+const FORMAT_DELAY: Duration = Duration::from_millis(30);
+/// Time for the last lines to be written before the process ends.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Starts logging and returns the sender for decision lines.
+/// Starts logging and returns the sender for decision lines, and the queue of all lines.
 ///
 /// # Errors
 ///
 /// Returns the reason why the thread cannot be started.
-pub fn start() -> io::Result<Sender<DecisionLine>> {
+pub fn start() -> io::Result<(Sender<DecisionLine>, LogQueue)> {
+    let queue = LogQueue::start(io::stdout())?;
+    let writer = queue.clone();
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
         .with_target(false)
-        .with_writer(io::stdout)
+        .with_writer(move || writer.clone())
         .init();
+    LogQueue::redirect_panics();
     let (sender, receiver) = bounded::<DecisionLine>(CHANNEL_CAPACITY);
     std::thread::Builder::new().name("log".into()).spawn(move || {
         let mut budget = LineBudget::new(MAX_LINES_PER_SECOND);
@@ -40,12 +47,13 @@
             }
         }
     })?;
-    Ok(sender)
+    Ok((sender, queue))
 }
 
-/// Waits [`FLUSH_DELAY`] for the log thread to write the remaining lines.
-pub fn wait_for_flush() {
-    std::thread::sleep(FLUSH_DELAY);
+/// Waits for the remaining lines to be written, for a limited time.
+pub fn wait_for_flush(queue: &LogQueue) {
+    std::thread::sleep(FORMAT_DELAY);
+    queue.wait_until_written(WRITE_TIMEOUT);
 }
 
 /// Shortens the name of a request, which its client chooses.
--- a/crates/daemon/src/runtime/host.rs
+++ b/crates/daemon/src/runtime/host.rs
@@ -14,7 +14,7 @@
 use fleet::model::VmReport;
 use fleet::{CallId, ClientAnswer, Clock, DecisionLine, Effect, Event, FleetCore, ReplyToken};
 use platform::{PlatformSettings, VmListAnswer};
-use state::Moment;
+use state::{Millis, Moment};
 use transport::{CallSender, IncomingRequest};
 
 use super::decision_log::shorten_id;
@@ -23,6 +23,10 @@
 use super::metrics::{MetricsRegistry, event_label};
 use super::priority_lock::{LockPriority, PriorityLock};
 
+/// Time without a step of the state machine, which a tick makes every 25 ms, after which the daemon
+/// answers no request.
+const MAX_STEP_AGE: Millis = Millis(1_500);
+
 /// Writes an answer to a request in the caller's protocol.
 pub type AnswerWriter = fn(IncomingRequest, &ClientAnswer);
 
@@ -52,6 +56,8 @@
     exit_sender: Sender<()>,
     last_token: AtomicU64,
     is_ready: AtomicBool,
+    /// Time of the last step of the state machine, in milliseconds since the VM's boot.
+    last_step_ms: AtomicU64,
     /// Metrics that the internal address serves.
     pub metrics: MetricsRegistry,
     /// Steps since the last report of the tick monitor.
@@ -65,6 +71,7 @@
         call_senders: CallSenders,
         decision_lines: Sender<DecisionLine>,
         exit_sender: Sender<()>,
+        metrics: MetricsRegistry,
     ) -> Self {
         Self {
             core: PriorityLock::new(FleetCore::new(settings.fleet.clone())),
@@ -75,15 +82,19 @@
             exit_sender,
             last_token: AtomicU64::new(0),
             is_ready: AtomicBool::new(false),
-            metrics: MetricsRegistry::default(),
+            last_step_ms: AtomicU64::new(0),
+            metrics,
             step_totals: StepTotals::default(),
             load_report: LoadReport::default(),
         }
     }
 
-    /// Returns whether the daemon may receive submitters' requests.
+    /// Returns whether the daemon may receive submitters' requests: the state machine is ready, and
+    /// has stepped within [`MAX_STEP_AGE`].
     pub fn is_ready(&self) -> bool {
-        self.is_ready.load(Ordering::Relaxed)
+        let last_step = Moment(self.last_step_ms.load(Ordering::Relaxed));
+        let is_stepping = read_clock() <= last_step + MAX_STEP_AGE;
+        is_stepping && self.is_ready.load(Ordering::Relaxed)
     }
 
     pub fn settings(&self) -> Arc<PlatformSettings> {
@@ -168,6 +179,7 @@
             self.apply_effect(effect, replies);
         }
         self.is_ready.store(core.is_ready(), Ordering::Relaxed);
+        self.last_step_ms.store(clock.now.0, Ordering::Relaxed);
         let step_duration = step_start.elapsed();
         self.metrics.record_step(kind, step_duration);
         self.metrics.record_placement_checks(core.placement_checks());
--- a/crates/daemon/src/runtime/metrics.rs
+++ b/crates/daemon/src/runtime/metrics.rs
@@ -98,7 +98,7 @@
     client_bytes: Family<AddressLabel, Gauge>,
     /// Counters of the listening addresses, from which the three metrics above are updated.
     client_counters: Mutex<Vec<Arc<ClientCounters>>>,
-    /// Decision lines dropped because the log channel was full.
+    /// Log lines dropped because a queue was full.
     pub dropped_lines: Counter,
 }
 
@@ -108,8 +108,9 @@
     metric
 }
 
-impl Default for MetricsRegistry {
-    fn default() -> Self {
+impl MetricsRegistry {
+    /// Creates the metrics; `dropped_lines` counts the log lines that were dropped.
+    pub fn new(dropped_lines: &Counter) -> Self {
         let mut registry = Registry::with_prefix("pollenfall");
         let own = &mut registry;
         let (latencies, seconds) = (new_latency_family, new_latency_histogram);
@@ -244,8 +245,8 @@
             dropped_lines: register(
                 own,
                 "dropped_lines",
-                "Log lines that found the ring full",
-                Counter::default(),
+                "Log lines that found a queue full",
+                dropped_lines.clone(),
             ),
             registry,
         }
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -30,6 +30,7 @@
 
 use delay::TickMonitor;
 use host::{CallSenders, FleetHost};
+use metrics::MetricsRegistry;
 
 /// Path of the settings file when the environment variable [`SETTINGS_VARIABLE`] is not set.
 const DEFAULT_SETTINGS_PATH: &str = "/etc/pollenfall/node.conf";
@@ -65,7 +66,9 @@
 pub fn run() -> Result<()> {
     let incarnation = Incarnation(host::read_wall_clock_ms());
     let settings = read_settings(incarnation)?;
-    let decision_lines = decision_log::start().wrap_err("cannot start the log thread")?;
+    let (decision_lines, log_queue) =
+        decision_log::start().wrap_err("cannot start the log threads")?;
+    let metrics = MetricsRegistry::new(log_queue.dropped());
     let (exit_sender, exit_receiver) = bounded(1);
     let (host_sender, host_receiver) = bounded(1);
     let host_settings = settings.clone();
@@ -82,6 +85,7 @@
                     CallSenders { lease: lease_calls, ordinary: ordinary_calls },
                     decision_lines,
                     exit_sender,
+                    metrics,
                 ));
                 let _ = host_sender.send(Arc::clone(&new_host));
                 let _ = host.set(new_host);
@@ -98,7 +102,7 @@
     submitters::start(&settings, &host)?;
     exit_receiver.recv().wrap_err("all threads ended before the daemon stopped")?;
     tracing::info!(daemon = %settings.fleet.daemon, "stopped");
-    decision_log::wait_for_flush();
+    decision_log::wait_for_flush(&log_queue);
     Ok(())
 }
 
--- a/crates/daemon/tests/untrusted_clients.rs
+++ b/crates/daemon/tests/untrusted_clients.rs
@@ -7,7 +7,9 @@
 
 #[path = "untrusted_clients/crowd.rs"]
 mod crowd;
+// Another test program uses the rest of this module.
 #[path = "untrusted_clients/process.rs"]
+#[allow(dead_code)]
 mod process;
 
 use crowd::{
--- a/crates/daemon/tests/untrusted_clients/process.rs
+++ b/crates/daemon/tests/untrusted_clients/process.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Lets one test at a time start a process, so that the crowds don't disturb each other.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
@@ -14,6 +14,17 @@
 const START_POLL: Duration = Duration::from_millis(50);
 const MAX_START_POLLS: usize = 1_200;
 
+/// Where the standard output of a daemon goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogReader {
+    /// To a file.
+    File,
+    /// To a pipe that nobody reads.
+    Silent,
+    /// To a pipe whose reader closes it once the daemon listens.
+    Closed,
+}
+
 /// Running daemon, which ends with this value, also when the test fails.
 pub struct TestDaemon {
     child: Child,
@@ -28,6 +39,11 @@
     ///
     /// `descriptor_limit` is the limit that the operating system enforces on the process.
     pub fn start_on_platform(limits: &str, descriptor_limit: Option<u32>) -> Self {
+        Self::start_with_log(limits, descriptor_limit, LogReader::File)
+    }
+
+    /// Like [`Self::start_on_platform`], with the standard output to `reader`.
+    pub fn start_with_log(limits: &str, descriptor_limit: Option<u32>, reader: LogReader) -> Self {
         let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
         let ports = find_free_ports(4);
         let settings = format!(
@@ -51,7 +67,7 @@
             }
         };
         command.arg("--platform").env("POLLENFALL_NODE_FILE", path);
-        Self::spawn(command, directory, ports[..3].to_vec(), turn)
+        Self::spawn(command, directory, ports[..3].to_vec(), turn, reader)
     }
 
     /// Starts `pollenfalld --settings` without a platform, on a VM of 96 MB. Its addresses are `listen` and
@@ -71,7 +87,7 @@
         fs::write(&path, settings).expect("write the settings");
         let mut command = Command::new(env!("CARGO_BIN_EXE_pollenfalld"));
         command.arg("--settings").arg(path);
-        Self::spawn(command, directory, ports[..2].to_vec(), turn)
+        Self::spawn(command, directory, ports[..2].to_vec(), turn, LogReader::File)
     }
 
     fn spawn(
@@ -79,17 +95,21 @@
         directory: PathBuf,
         addresses: Vec<SocketAddr>,
         turn: MutexGuard<'static, ()>,
+        reader: LogReader,
     ) -> Self {
         let log = fs::File::create(directory.join("log")).expect("create the log file");
         let errors = log.try_clone().expect("share the log file");
         let child = command
             .stdin(Stdio::null())
-            .stdout(Stdio::from(log))
+            .stdout(if reader == LogReader::File { Stdio::from(log) } else { Stdio::piped() })
             .stderr(Stdio::from(errors))
             .spawn()
             .expect("start the daemon");
         let mut daemon = Self { child, directory, addresses, _turn: turn };
         daemon.wait_until_listening();
+        if reader == LogReader::Closed {
+            drop(daemon.child.stdout.take());
+        }
         daemon
     }
 
@@ -113,6 +133,20 @@
         self.child.try_wait().expect("query the daemon").is_none()
     }
 
+    /// Sends SIGTERM, and returns whether the daemon ends with success within `timeout`.
+    pub fn stops_within(&mut self, timeout: Duration) -> bool {
+        let id = self.child.id().to_string();
+        Command::new("kill").args(["-TERM", &id]).status().expect("send the signal");
+        let end = Instant::now() + timeout;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait().expect("query the daemon") {
+                return status.success();
+            }
+            sleep(START_POLL);
+        }
+        false
+    }
+
     /// Returns the largest resident memory that the process has had, in KiB.
     pub fn peak_memory_kib(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
