Minions: a full page of finished runs is not the whole list

Cause: a minion lists 500 finished runs at a time. Runs beyond the page are in neither list, and the owner released them; a new owner took such a minion for one whose runs are all known.

Evidence: without the change many_ends::runs_beyond_a_full_page_are_not_repeated counts 2,200 runs for the same owner and 2,800 with TWICE for the next one, where 1,600 are expected.

Change: the adapter says whether there may be more ends; no run is released and no minion is confirmed by such an answer, and a VM with unseen ends is not drained.

--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -324,8 +324,11 @@
         minion_incarnation: u64,
         /// Runs that are running.
         running: Vec<RunningRow>,
-        /// Finished runs that are not acknowledged as saved.
+        /// Finished runs that are not acknowledged as saved, those with the lowest numbers first.
         ended: Vec<EndedRow>,
+        /// Whether the minion may have further finished runs, which it lists only once these are
+        /// acknowledged. Nothing then follows from the absence of a run from both lists.
+        has_more_ends: bool,
     },
     /// The minion did nothing, for this reason.
     Refused(OrderRefusal),
--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -104,6 +104,7 @@
                 minion_incarnation: reported_incarnation,
                 running,
                 ended,
+                has_more_ends,
             } => {
                 if reported_incarnation != minion.report.minion_incarnation {
                     if reported_incarnation < minion.report.minion_incarnation
@@ -113,6 +114,9 @@
                     }
                     self.begin_incarnation(context, id, reported_incarnation);
                 }
+                if let Some(minion) = self.minions.get_mut(id) {
+                    minion.has_more_ends = has_more_ends;
+                }
                 self.apply_hold_answer(context, id, sent_at, clock_ms, running, ended);
             }
             MinionAnswer::Refused(OrderRefusal::Fenced) => {
@@ -179,8 +183,11 @@
             listed.insert((row.task.clone(), row.run));
             self.apply_running_row(context, id, row);
         }
-        self.release_unlisted_runs(context, id, sent_at, clock_ms, &listed);
-        self.stage.unconfirmed_minions.remove(id);
+        // A run that neither list has may have finished beyond a full page.
+        if self.minions.get(id).is_some_and(|minion| !minion.has_more_ends) {
+            self.release_unlisted_runs(context, id, sent_at, clock_ms, &listed);
+            self.stage.unconfirmed_minions.remove(id);
+        }
         self.throttle_best_effort(context, id);
     }
 
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -325,7 +325,8 @@
     }
 
     /// Allows the start of tasks that an earlier owner may have started, once every minion
-    /// of the roster has reported its runs or all leases of earlier owners have expired.
+    /// of the roster has reported its runs or all leases of earlier owners have expired, and every
+    /// minion that answers has listed all its finished runs.
     /// The longest lease is `RUN_LEASE_DURATION` plus the clock error of 30 per mille and a
     /// margin of 500 ms. Minions that are still unconfirmed after `ROSTER_RETENTION` leave
     /// the roster.
@@ -334,8 +335,11 @@
         let max_lease_ms =
             RUN_LEASE_DURATION.0 + RUN_LEASE_DURATION.0 * CLOCK_ERROR_PERMILLE / 1_000 + 500;
         let have_leases_expired = now >= self.owned_since + Millis(max_lease_ms);
+        let has_unseen_ends =
+            || self.minions.values().any(|minion| minion.may_have_unseen_ends(now));
         if !self.stage.has_resolved_unknown_runs
             && (!self.stage.awaits_minions() || have_leases_expired)
+            && !has_unseen_ends()
         {
             self.log_resolution(context);
             self.stage.has_resolved_unknown_runs = true;
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -110,6 +110,9 @@
     pub(super) saved_end: u64,
     /// Highest number up to which the minion has been told to drop its finished runs.
     pub(super) acknowledged_end: u64,
+    /// Whether the last answer to a hold listed as many finished runs as an answer can, so that there
+    /// may be more.
+    pub(super) has_more_ends: bool,
     /// Whether a hold is not answered yet.
     pub(super) is_hold_in_flight: bool,
     /// Whether the last completed hold failed or was not answered. No task is started on the minion
@@ -150,6 +153,7 @@
             unsaved_ends: UnsavedEnds::default(),
             saved_end,
             acknowledged_end: saved_end,
+            has_more_ends: false,
             is_hold_in_flight: false,
             is_unresponsive: false,
             next_hold_at: Moment(0),
@@ -239,6 +243,12 @@
         now >= self.lease_end
     }
 
+    /// Whether the minion may have finished runs that this owner has not seen and that still count:
+    /// those of a lapsed lease do not.
+    pub(super) fn may_have_unseen_ends(&self, now: Moment) -> bool {
+        self.has_more_ends && !self.are_leases_expired(now)
+    }
+
     /// Adds a run and reserves its resources.
     pub(super) fn insert_run(&mut self, key: RunKey, run: MinionRun) {
         self.may_probe = false;
@@ -275,7 +285,10 @@
 
     /// Whether the minion has no runs and no finished run to report, by all that this owner knows.
     pub(super) fn is_idle(&self) -> bool {
-        self.is_fenced && self.runs.is_empty() && self.processed_end == self.acknowledged_end
+        self.is_fenced
+            && self.runs.is_empty()
+            && self.processed_end == self.acknowledged_end
+            && !self.has_more_ends
     }
 
     /// Whether the minion's last answer is recent enough to describe its current state.
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -15,6 +15,7 @@
 mod fixtures;
 mod handover;
 mod injected_fault;
+mod many_ends;
 mod minion;
 mod overload;
 mod owner_work;
--- a/crates/fleet/tests/rules/minion.rs
+++ b/crates/fleet/tests/rules/minion.rs
@@ -82,6 +82,8 @@
 
 /// Time from the order to stop a run until the run has stopped, unless a test sets another.
 const STOP_DURATION_MS: u64 = 300;
+/// Maximum number of finished runs in one answer.
+const MAX_LISTED_ENDS: usize = 500;
 /// Time from the start of a run until its task is at work.
 const STARTUP_MS: u64 = 700;
 /// Maximum time by which an order extends the lease, by the minion's clock.
@@ -305,7 +307,8 @@
             clock_ms,
             minion_incarnation: self.report.minion_incarnation,
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            has_more_ends: self.ended.len() >= MAX_LISTED_ENDS,
         }
     }
 }
