Progress: the number of failed runs is kept in full

Cause: failed runs were kept as one digit, 9 for nine or more, which a limit of ten never reaches.

Evidence: without the change attempts::task_fails_its_job_after_all_attempts fails with 10, 12 and 25 attempts, with and without a change of owner, and holds with 3 and 9.

Change: numbers above nine have an entry of their own in the record; records of earlier versions are read.

--- a/crates/fleet/src/pool/failures.rs
+++ b/crates/fleet/src/pool/failures.rs
@@ -40,7 +40,12 @@
         if job.failures.iter().any(|failure| failure.details == details) {
             return;
         }
-        job.progress.set_mark(position.0, position.1, position.2, TaskMark::Open(failed + 1));
+        job.progress.set_mark(
+            position.0,
+            position.1,
+            position.2,
+            TaskMark::Open(failed.saturating_add(1)),
+        );
         job.failures.push(PendingFailure { details, is_acknowledgement_sent: false });
         job.is_progress_dirty = true;
     }
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -289,7 +289,7 @@
             let mark = self.progress.mark(position.0, position.1, position.2);
             let is_uncertain =
                 self.failures.iter().any(|failure| failure.details.task == *position);
-            matches!(mark, TaskMark::Open(failed) if u32::from(failed) >= self.terms.max_attempts)
+            matches!(mark, TaskMark::Open(failed) if failed >= self.terms.max_attempts)
                 && !is_uncertain
         };
         let may_have_exhausted = |(occurrence, step): &(u32, u16)| {
@@ -305,7 +305,7 @@
     /// Whether a task has failed fewer times than the job's terms allow.
     pub(super) fn has_attempts_left(&self, position: TaskPosition) -> bool {
         let mark = self.progress.mark(position.0, position.1, position.2);
-        matches!(mark, TaskMark::Open(failed) if u32::from(failed) < self.terms.max_attempts)
+        matches!(mark, TaskMark::Open(failed) if failed < self.terms.max_attempts)
     }
 
     /// Returns a run number that is higher than all earlier ones of the job, including
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -5,6 +5,7 @@
 //! observe.
 
 mod accepted_jobs;
+mod attempts;
 mod checker;
 mod cloud;
 mod config_rule;
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -3,7 +3,8 @@
 //! The record has one string per step and one letter per task in the string, which keeps the
 //! record short and readable: `.` is a task that is not done and has no counted failure, `1` to
 //! `9` is the number of failed runs of a task that is not done, and `d` is a task that is done. A
-//! step without a recorded mark has no string.
+//! task with more failed runs has the letter `9` and an entry of its own with their number. A step
+//! without a recorded mark has no string.
 //!
 //! A job with a timetable may have millions of occurrences. They are opened in order, and the marks
 //! of an occurrence are dropped once it is done: the entry `opened` holds how many were opened, and
@@ -19,14 +20,17 @@
 
 use crate::JobSpec;
 
+/// Maximum number of failed runs that a letter can say.
+const MAX_LETTER_FAILURES: u32 = 9;
+const MANY_FAILURES: u32 = MAX_LETTER_FAILURES + 1;
 /// Name of the entry that holds how many occurrences were opened.
 const OPENED_KEY: &str = "opened";
 
 /// Recorded result of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TaskMark {
-    /// The task is not done; the value is its number of failed runs (9 means 9 or more).
-    Open(u8),
+    /// The task is not done; the value is its number of failed runs.
+    Open(u32),
     /// The task is done.
     Done,
 }
@@ -36,14 +40,14 @@
         match self {
             Self::Done => b'd',
             Self::Open(0) => b'.',
-            Self::Open(failures) => b'0' + failures.min(9),
+            Self::Open(failures) => b'0' + failures.min(MAX_LETTER_FAILURES) as u8,
         }
     }
 
     fn from_letter(letter: u8) -> Self {
         match letter {
             b'd' => Self::Done,
-            b'1'..=b'9' => Self::Open(letter - b'0'),
+            b'1'..=b'9' => Self::Open(u32::from(letter - b'0')),
             _ => Self::Open(0),
         }
     }
@@ -53,6 +57,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 struct StepMarks {
     letters: Vec<u8>,
+    /// Numbers of failed runs above [`MAX_LETTER_FAILURES`], by the task's index.
+    many_failures: BTreeMap<u32, u32>,
     /// Number of tasks that are done.
     done: u32,
     /// Number of tasks that are not done and have failed.
@@ -73,7 +79,12 @@
     }
 
     fn get(&self, index: u32) -> TaskMark {
-        TaskMark::from_letter(self.letters.get(index as usize).copied().unwrap_or(b'.'))
+        match self.many_failures.get(&index) {
+            Some(failures) => TaskMark::Open(*failures),
+            None => {
+                TaskMark::from_letter(self.letters.get(index as usize).copied().unwrap_or(b'.'))
+            }
+        }
     }
 
     fn set(&mut self, index: u32, mark: TaskMark) {
@@ -84,6 +95,14 @@
             self.letters.resize(position + 1, b'.');
         }
         self.letters[position] = mark.to_letter();
+        match mark {
+            TaskMark::Open(failures @ MANY_FAILURES..) => {
+                self.many_failures.insert(index, failures);
+            }
+            _ => {
+                self.many_failures.remove(&index);
+            }
+        }
     }
 
     /// Adds a mark to the counts, or takes it away from them.
@@ -221,6 +240,10 @@
         let mut map = serializer.serialize_map(None)?;
         for ((occurrence, step), marks) in &self.steps {
             map.serialize_entry(&format_args!("{occurrence}.{step}"), marks.as_text())?;
+            for (index, failures) in &marks.many_failures {
+                let key = format_args!("{occurrence}.{step}.{index}");
+                map.serialize_entry(&key, &format_args!("{failures}"))?;
+            }
         }
         if self.opened > 0 {
             map.serialize_entry(OPENED_KEY, &format_args!("{}", self.opened))?;
@@ -246,17 +269,31 @@
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<JobProgress, A::Error> {
         let mut progress = JobProgress::default();
+        let mut many_failures = Vec::new();
         while let Some((key, text)) = map.next_entry::<String, String>()? {
+            let number = || text.parse::<u32>().map_err(serde::de::Error::custom);
             if key == OPENED_KEY {
-                progress.opened = text.parse().map_err(serde::de::Error::custom)?;
+                progress.opened = number()?;
             } else if let Some(position) = parse_step_key(&key) {
                 progress.steps.insert(position, StepMarks::from_text(&text));
+            } else if let Some(position) = parse_task_key(&key) {
+                many_failures.push((position, number()?));
             }
         }
+        for ((occurrence, step, index), failures) in many_failures {
+            progress.set_mark(occurrence, step, index, TaskMark::Open(failures));
+        }
         Ok(progress)
     }
 }
 
+/// Parses the key of a task's number of failed runs: its occurrence, step and index.
+fn parse_task_key(key: &str) -> Option<(u32, u16, u32)> {
+    let (step_key, index) = key.rsplit_once('.')?;
+    let (occurrence, step) = parse_step_key(step_key)?;
+    Some((occurrence, step, index.parse().ok()?))
+}
+
 /// Parses the key of a step's marks: its occurrence and its number.
 fn parse_step_key(key: &str) -> Option<(u32, u16)> {
     let (occurrence, step) = key.split_once('.')?;
--- a/crates/jobs/tests/model.rs
+++ b/crates/jobs/tests/model.rs
@@ -62,6 +62,25 @@
     assert!(progress.is_complete(&spec));
 }
 
+/// Guards against a count of failed runs that stops below the limit on attempts.
+#[rstest]
+#[case(9, r#"{"0.0":".9"}"#)]
+#[case(10, r#"{"0.0":".9","0.0.1":"10"}"#)]
+#[case(u32::MAX, r#"{"0.0":".9","0.0.1":"4294967295"}"#)]
+fn any_number_of_failed_runs_is_kept(#[case] failures: u32, #[case] expected: &str) {
+    let mut progress = JobProgress::default();
+    progress.set_mark(0, 0, 1, TaskMark::Open(failures));
+    let text = serde_json::to_string(&progress).expect("progress serialises");
+    assert_eq!(text, expected);
+    let mut decoded: JobProgress = serde_json::from_str(&text).expect("progress deserialises");
+    assert_eq!(decoded.mark(0, 0, 1), TaskMark::Open(failures));
+    decoded.discount_failure(0, 0, 1);
+    assert_eq!(decoded.mark(0, 0, 1), TaskMark::Open(failures - 1));
+    decoded.set_mark(0, 0, 1, TaskMark::Done);
+    let text = serde_json::to_string(&decoded).expect("progress serialises");
+    assert_eq!(text, r#"{"0.0":".d"}"#);
+}
+
 fn timetabled_job(occurrences: u32) -> JobSpec {
     let mut spec = job(vec![step(2, 1, &[]), step(1, 1, &[0])]);
     spec.timetable = Some(Timetable { first_due_ms: 0, interval: Millis(1), occurrences });
