Jobs: a payload has at most 4,000 bytes

Cause: the check of a job bounds its steps and tasks, but not its payload.

Evidence: length_of_the_payload_is_limited needs the new check; before, 4,001 bytes were valid by JobSpec::check, which had no such bound (not run apart).

Result: the tests of the jobs and platform crates pass.

--- a/crates/jobs/src/parse.rs
+++ b/crates/jobs/src/parse.rs
@@ -127,6 +127,7 @@
 fn steps_of_graph_error(error: &JobGraphError) -> Vec<PathStep> {
     let steps = PathStep::Field("steps".into());
     match error {
+        JobGraphError::PayloadLength(_) => vec![PathStep::Field("payload".into())],
         JobGraphError::StepCount(_) | JobGraphError::TaskTotal(_) => vec![steps],
         JobGraphError::TaskCount { step, .. } => {
             vec![steps, PathStep::Item(*step), PathStep::Field("tasks".into())]
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -15,6 +15,8 @@
 pub const MAX_STEPS: usize = 64;
 const MAX_TASKS_PER_STEP: u32 = 10_000;
 const MAX_TASKS_PER_OCCURRENCE: u64 = 20_000;
+/// Maximum length of a payload, which each start of a task carries.
+const MAX_PAYLOAD_BYTES: usize = 4_000;
 
 /// Schedule of a job whose steps run repeatedly.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,9 +119,11 @@
     pub spec: JobSpec,
 }
 
-/// Error that describes why the graph of a job is invalid.
+/// Error that describes why a job is invalid: its payload, or the graph of its steps.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum JobGraphError {
+    /// The payload is longer than the maximum; the value is its length in bytes.
+    PayloadLength(usize),
     /// The job has no steps, or more than the maximum; the value is the number of steps.
     StepCount(usize),
     /// A step has no tasks, or more than the maximum.
@@ -143,6 +147,9 @@
 impl fmt::Display for JobGraphError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::PayloadLength(bytes) => {
+                write!(f, "the payload has {bytes} bytes; allowed are {MAX_PAYLOAD_BYTES}")
+            }
             Self::StepCount(count) => write!(f, "a job has 1 to {MAX_STEPS} steps, not {count}"),
             Self::TaskCount { step, tasks } => {
                 write!(f, "step {step} has {tasks} tasks; allowed are 1 to {MAX_TASKS_PER_STEP}")
@@ -160,13 +167,16 @@
 impl std::error::Error for JobGraphError {}
 
 impl JobSpec {
-    /// Checks the numbers of steps and tasks, and that each step depends on earlier steps only.
+    /// Checks the length of the payload, the numbers of steps and tasks, and that each step depends on earlier steps only.
     ///
     /// # Errors
     ///
-    /// Returns the first [`JobGraphError`] found. The checks cover the number of steps, then each
+    /// Returns the first [`JobGraphError`] found. The checks cover the payload, the number of steps, each
     /// step in turn, then the total number of tasks.
     pub fn check(&self) -> Result<(), JobGraphError> {
+        if self.payload.len() > MAX_PAYLOAD_BYTES {
+            return Err(JobGraphError::PayloadLength(self.payload.len()));
+        }
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return Err(JobGraphError::StepCount(self.steps.len()));
         }
--- a/crates/jobs/tests/model.rs
+++ b/crates/jobs/tests/model.rs
@@ -23,6 +23,16 @@
     assert!(job(steps).check().is_err());
 }
 
+/// Guards against a payload that makes each start of a task as long as a client likes.
+#[rstest]
+#[case(4_000, true)]
+#[case(4_001, false)]
+fn length_of_the_payload_is_limited(#[case] bytes: usize, #[case] is_valid: bool) {
+    let payload = "a".repeat(bytes).into();
+    let spec = JobSpec { payload, ..job(vec![step(1, 1, &[])]) };
+    assert_eq!(spec.check().is_ok(), is_valid);
+}
+
 #[test]
 fn critical_path_follows_the_graph() {
     let spec = job(vec![step(2, 300, &[]), step(1, 500, &[]), step(3, 100, &[0, 1])]);
