Starts: one that may have reached an unknown incarnation is kept until its longest lease has ended

Cause: a minion may restart under its id with a clock that begins anew. A start that reaches it before the owner knows carries the end of its validity by the old clock, so the minion grants its longest lease; the owner counted 1.5 s, and released the run with the leases of the earlier incarnation.

Change: an answer whose clock is behind comes from another incarnation. The run of such a start, or of one without an answer, is not released before the longest lease from then on has ended.

--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -6,21 +6,20 @@
 use std::collections::BTreeSet;
 
 use jobs::{JobPhase, RunNumber, TaskName};
-use state::{JobId, MinionId, Moment, Revision};
+use state::{JobId, Millis, MinionId, Moment, Revision};
 
 use super::job::{OwnedJob, position_of, task_name};
 use super::minion::{RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
 use crate::io::{EndKind, EndedRow, MinionAnswer, OrderRefusal, RunningRow};
-use crate::timing::{HOLD_RETRY_DELAY, REFUSAL_PAUSE, RUN_LEASE_DURATION};
+use crate::timing::{CLOCK_ERROR_PERMILLE, HOLD_RETRY_DELAY, REFUSAL_PAUSE, RUN_LEASE_DURATION};
 
 impl PoolOwner {
-    /// Handles the answer to a start.
+    /// Handles the answer to a start that was sent to an incarnation of a minion at `sent_at`.
     pub(super) fn on_start_answered(
         &mut self,
         context: &mut StepContext,
-        id: &MinionId,
-        incarnation: u64,
+        (id, incarnation, sent_at): (&MinionId, u64, Moment),
         task: &TaskName,
         run: RunNumber,
         answer: MinionAnswer,
@@ -32,7 +31,18 @@
         }
         match answer {
             MinionAnswer::Ok { clock_ms } => {
-                minion.set_clock(clock_ms, now);
+                if minion.is_behind(clock_ms, sent_at) {
+                    let inputs = format!("run {run} on {id}, its clock is behind");
+                    context.out.log("start-answered", task, inputs, "by another incarnation");
+                    // Its next hold extends no lease by the clock of the known incarnation.
+                    minion.is_unresponsive = true;
+                    minion.next_hold_at = now;
+                    self.hold_queue.add(id);
+                    self.distrust_start(context, id, task, run);
+                } else {
+                    minion.set_clock(clock_ms, now);
+                }
+                let Some(minion) = self.minions.get_mut(id) else { return };
                 if let Some(known) = minion.runs.get_mut(&(task.clone(), run))
                     && matches!(known.phase, RunPhase::Starting { .. })
                 {
@@ -69,11 +79,31 @@
             // reservation.
             MinionAnswer::Unknown | MinionAnswer::Held { .. } => {
                 context.out.log("start-unanswered", task, format!("run {run} on {id}"), "waits");
-                minion.starts_paused_until = now + REFUSAL_PAUSE;
+                self.distrust_start(context, id, task, run);
             }
         }
     }
 
+    /// Notes that a start may have reached an incarnation that this owner does not know. Its clock began
+    /// anew, so it is far behind the end of the start's validity, and the run gets the longest lease
+    /// that minions grant.
+    fn distrust_start(
+        &mut self,
+        context: &StepContext,
+        id: &MinionId,
+        task: &TaskName,
+        run: RunNumber,
+    ) {
+        let now = context.clock.now;
+        let max_lease = context.settings.max_run_lease.0;
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        minion.starts_paused_until = now + REFUSAL_PAUSE;
+        if let Some(known) = minion.runs.get_mut(&(task.clone(), run)) {
+            let clock_error = max_lease * CLOCK_ERROR_PERMILLE / 1_000;
+            known.may_run_until = now + Millis(max_lease + clock_error);
+        }
+    }
+
     /// Marks a queued job as active, since a minion has told that one of its tasks has started. A
     /// start that was only sent may never arrive.
     pub(super) fn note_started(&mut self, now: Moment, job: &JobId) {
--- a/crates/fleet/src/pool/listed.rs
+++ b/crates/fleet/src/pool/listed.rs
@@ -79,6 +79,7 @@
             reservation,
             is_long_running,
             is_listed: true,
+            may_run_until: Moment(0),
             percent: row.percent,
             reported_metric: row.reported_metric,
             processor_share: 100,
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -32,6 +32,13 @@
     Uncertain { retry_at: Moment },
 }
 
+impl MinionRun {
+    /// Whether the run can no longer execute once the leases on its minion have expired.
+    pub(super) fn ends_with_leases(&self, now: Moment) -> bool {
+        self.is_listed || now >= self.may_run_until
+    }
+}
+
 impl RunPhase {
     /// Returns the time at which a stop of the run is sent again.
     pub(super) fn stop_retry_at(self) -> Option<Moment> {
@@ -57,6 +64,10 @@
     pub(super) is_long_running: bool,
     /// Whether a hold of the minion's current incarnation has listed the run.
     pub(super) is_listed: bool,
+    /// Time until which the run may execute although the minion's leases have expired, because its
+    /// start may have reached an incarnation that this owner does not know. Counts until the run is
+    /// listed.
+    pub(super) may_run_until: Moment,
     /// Progress that the task reported last; a long-running task serves at 100.
     pub(super) percent: u8,
     /// Metric that the task reported last: tail latency in milliseconds for a serving task,
@@ -233,6 +244,15 @@
         self.lease_end = self.lease_end.max(at + Millis(duration + clock_error)).max(now);
     }
 
+    /// Whether a reading of the clock by a call that was sent at `sent_at` is behind what this
+    /// incarnation's clock must show, so that another incarnation has answered.
+    pub(super) fn is_behind(&self, clock_ms: u64, sent_at: Moment) -> bool {
+        self.clock.is_some_and(|(known_ms, at)| {
+            let elapsed_ms = (sent_at - at).0;
+            clock_ms < known_ms + elapsed_ms - elapsed_ms * CLOCK_ERROR_PERMILLE / 1_000
+        })
+    }
+
     /// Records that a run may execute until `lease_end`.
     pub(super) fn set_lease_end(&mut self, lease_end: Moment) {
         self.lease_end = self.lease_end.max(lease_end);
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -289,7 +289,8 @@
                 self.on_hold_answered(context, &minion, incarnation, sent_at, answer);
             }
             PoolCall::Start { minion, incarnation, task, run } => {
-                self.on_start_answered(context, &minion, incarnation, &task, run, answer);
+                let origin = (&minion, incarnation, sent_at);
+                self.on_start_answered(context, origin, &task, run, answer);
             }
             PoolCall::Throttle { minion, task, run, percent } => {
                 self.on_throttle_answered(&minion, &task, run, percent, &answer);
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -7,7 +7,7 @@
 use state::{JobId, Millis, MinionId, Moment};
 
 use super::job::task_name;
-use super::minion::{OwnedMinion, RunKey, RunPhase};
+use super::minion::{MinionRun, OwnedMinion, RunKey, RunPhase};
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{MinionCall, MinionTarget};
 use crate::timing::{MAX_HOLD_INTERVAL, MAX_HOLD_WAIT, RUN_LEASE_DURATION, STOP_RETRY_DELAY};
@@ -86,14 +86,26 @@
         context: &mut StepContext,
         id: &MinionId,
         reason: &str,
+    ) {
+        self.release_runs(context, id, reason, |_| true);
+        self.discount_minion_failures(context, id);
+    }
+
+    /// Releases the runs of a minion for which `is_released` holds.
+    fn release_runs(
+        &mut self,
+        context: &mut StepContext,
+        id: &MinionId,
+        reason: &str,
+        is_released: impl Fn(&MinionRun) -> bool,
     ) {
         let Some(minion) = self.minions.get(id) else { return };
-        let runs: Vec<RunKey> = minion.runs.keys().cloned().collect();
+        let released = minion.runs.iter().filter(|(_, run)| is_released(run));
+        let runs: Vec<RunKey> = released.map(|(key, _)| key.clone()).collect();
         for (task, run) in runs {
             context.out.log("run", &task, format!("run {run} on {id}"), reason.to_owned());
             self.release_run(id, &task, run);
         }
-        self.discount_minion_failures(context, id);
     }
 
     /// Releases the runs of minions whose leases have expired, and removes such minions if
@@ -114,8 +126,11 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
-            self.release_all_runs(context, &id, "its lease has lapsed");
-            if self.minions.get(&id).is_some_and(|minion| !minion.is_listed) {
+            let ends_with_leases = |run: &MinionRun| run.ends_with_leases(now);
+            self.release_runs(context, &id, "its lease has lapsed", ends_with_leases);
+            self.discount_minion_failures(context, &id);
+            let is_gone = |minion: &OwnedMinion| !minion.is_listed && minion.runs.is_empty();
+            if self.minions.get(&id).is_some_and(is_gone) {
                 context.out.log("minion", &id, "not in the registry, lease expired", "forgotten");
                 self.minions.remove(&id);
                 self.save.is_roster_dirty = true;
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 
 use jobs::{Resources, RunNumber, StepSpec};
-use state::{JobId, Millis, MinionId, TeamId};
+use state::{JobId, Millis, MinionId, Moment, TeamId};
 
 use super::job::{LiveRun, TaskPosition, task_name};
 use super::minion::{MinionRun, OwnedMinion, RunPhase};
@@ -366,6 +366,7 @@
                 reservation,
                 is_long_running: job.spec.is_long_running(),
                 is_listed: false,
+                may_run_until: Moment(0),
                 percent: 0,
                 reported_metric: None,
                 processor_share: 100,
--- a/crates/fleet/tests/rules/replaced_minions.rs
+++ b/crates/fleet/tests/rules/replaced_minions.rs
@@ -5,7 +5,7 @@
 use fleet::{OwnKey, PoolDemand, StoreKey};
 use jobs::{JobSpec, StepSpec};
 use rstest::rstest;
-use state::{JobId, Millicores, MinionId, VmId};
+use state::{JobId, Millicores, Millis, MinionId, VmId};
 
 use crate::seeded_runs::{DAEMON_COUNT, JobBatch, build_config, build_report, submit_batch};
 use crate::simulation::{PlannedJob, Simulation};
@@ -233,3 +233,38 @@
     let lines = simulation.pool_decisions.iter();
     lines.filter(|(_, _, line)| *line.id == *"pool-0" && &*line.outcome == "loaded").count()
 }
+
+/// Guards against a task that runs twice because its start has reached a new incarnation, which grants
+/// the whole lease for it: the clock of that incarnation began anew, so it is far behind the end of the
+/// start's validity. The owner, which had not learnt of the incarnation, counted the validity only.
+#[rstest]
+fn start_that_reached_an_unknown_incarnation_runs_alone(
+    #[values(0, 100, 200, 300, 400)] report_phase: u64,
+    #[values(0, 400)] outage_ms: u64,
+) {
+    const RUN_MS: u64 = 9_500;
+    let mut simulation = Simulation::new(1, 3, build_config());
+    for number in 0..4 {
+        simulation.add_minion(build_report(0, number));
+    }
+    simulation.run_until(6_000 + report_phase);
+    let minion = build_report(0, 0).minion;
+    simulation.crash_minion(&minion);
+    simulation.run_until(simulation.now + outage_ms);
+    simulation.restart_minion(&minion);
+    let mut step = StepSpec { tasks: 4, estimate: Millis(RUN_MS), ..StepSpec::default() };
+    step.demand.processor = Millicores(1_000);
+    let spec = JobSpec { payload: "text".into(), steps: vec![step], timetable: None };
+    let job: JobId = "5c0e7a21d94b36f8".parse().expect("valid name");
+    simulation.true_run_ms.insert(job.clone(), RUN_MS);
+    let team = "team-0".parse().expect("valid name");
+    simulation.plan_job(10, job, PlannedJob { team, spec, queue: 0, cancel_after: None });
+    simulation.run_until(simulation.now + 90);
+    // The minion is cut off, and the store keeps the report of the earlier incarnation.
+    simulation.faults.keeps_reports = true;
+    simulation.minions.get_mut(&minion).expect("a minion").is_partitioned = true;
+    simulation.run_until(simulation.now + 12_000);
+    simulation.minions.get_mut(&minion).expect("a minion").is_partitioned = false;
+    simulation.run_until(simulation.now + 12_000);
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
