--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -30,6 +30,7 @@
 mod load;
 mod maintenance;
 mod minion;
+mod occurrences;
 mod orders;
 mod overload;
 mod pass;
--- a/crates/fleet/src/pool/pass.rs
+++ b/crates/fleet/src/pool/pass.rs
@@ -11,6 +11,8 @@
 use jobs::Resources;
 use state::{Millis, MinionId, Moment};
 
+use super::minion::OwnedMinion;
+use super::{PoolOwner, StepContext};
 use crate::event::WaitCause;
 
 /// Number of visited jobs and minions for which the next pass is delayed by a millisecond.
@@ -195,3 +197,33 @@
         }
     }
 }
+
+impl PoolOwner {
+    /// Lists the minions that may get tasks, with their free capacity.
+    pub(super) fn usable_capacity(&self, context: &StepContext) -> PassCapacity {
+        let mut capacity = PassCapacity::default();
+        for (id, minion) in self.minions.iter().filter(|(_, minion)| minion.is_listed) {
+            self.work.add(1);
+            match self.unusable_reason(context, minion) {
+                None => capacity.add_minion(id.clone(), &minion.free_capacity()),
+                Some(reason) => capacity.note_unusable(reason, &minion.free_capacity()),
+            }
+        }
+        capacity
+    }
+
+    /// Returns why no task may be started on a minion, or `None` if tasks may be started.
+    pub(super) fn unusable_reason(
+        &self,
+        context: &StepContext,
+        minion: &OwnedMinion,
+    ) -> Option<UnusableReason> {
+        if context.shared.evacuated_data_centres.contains(&minion.report.data_centre) {
+            Some(UnusableReason::Evacuated)
+        } else if self.is_being_drained(minion) {
+            Some(UnusableReason::Draining)
+        } else {
+            minion.unusable_reason(context.clock.now)
+        }
+    }
+}
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -17,7 +17,7 @@
 use super::job::{LiveRun, TaskPosition, task_name};
 use super::minion::{MinionRun, OwnedMinion, RunPhase};
 use super::orders::minion_target;
-use super::pass::{PassCapacity, UnusableReason};
+use super::pass::PassCapacity;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::event::{Measurement, WaitCause};
 use crate::io::MinionCall;
@@ -124,34 +124,6 @@
         self.select_jobs(context);
     }
 
-    /// Lists the minions that may get tasks, with their free capacity.
-    fn usable_capacity(&self, context: &StepContext) -> PassCapacity {
-        let mut capacity = PassCapacity::default();
-        for (id, minion) in self.minions.iter().filter(|(_, minion)| minion.is_listed) {
-            self.work.add(1);
-            match self.unusable_reason(context, minion) {
-                None => capacity.add_minion(id.clone(), &minion.free_capacity()),
-                Some(reason) => capacity.note_unusable(reason, &minion.free_capacity()),
-            }
-        }
-        capacity
-    }
-
-    /// Returns why no task may be started on a minion, or `None` if tasks may be started.
-    pub(super) fn unusable_reason(
-        &self,
-        context: &StepContext,
-        minion: &OwnedMinion,
-    ) -> Option<UnusableReason> {
-        if context.shared.evacuated_data_centres.contains(&minion.report.data_centre) {
-            Some(UnusableReason::Evacuated)
-        } else if self.is_being_drained(minion) {
-            Some(UnusableReason::Draining)
-        } else {
-            minion.unusable_reason(context.clock.now)
-        }
-    }
-
     /// Starts tasks of a group one by one, until none is left or no capacity is found.
     fn place_group(
         &mut self,
