--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -6,21 +6,20 @@
 use std::collections::BTreeSet;
 
 use jobs::{JobPhase, RunNumber, TaskName};
-use state::{JobId, MinionId, Moment, Revision};
+use state::{JobId, Millis, MinionId, Moment, Revision};
 
 use super::job::{OwnedJob, position_of, task_name};
 use super::minion::{RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
 use crate::io::{EndKind, EndedRow, MinionAnswer, OrderRefusal, RunningRow};
-use crate::timing::{HOLD_RETRY_DELAY, REFUSAL_PAUSE, RUN_LEASE_DURATION};
+use crate::timing::{CLOCK_ERROR_PERMILLE, HOLD_RETRY_DELAY, REFUSAL_PAUSE, RUN_LEASE_DURATION};
 
 impl PoolOwner {
-    /// Handles the answer to a start.
+    /// Handles the answer to a start that was sent to an incarnation of a minion at `sent_at`.
     pub(super) fn on_start_answered(
         &mut self,
         context: &mut StepContext,
-        id: &MinionId,
-        incarnation: u64,
+        (id, incarnation, sent_at): (&MinionId, u64, Moment),
         task: &TaskName,
         run: RunNumber,
         answer: MinionAnswer,
@@ -32,7 +31,18 @@
         }
         match answer {
             MinionAnswer::Ok { clock_ms } => {
-                minion.set_clock(clock_ms, now);
+                if minion.is_behind(clock_ms, sent_at) {
+                    let inputs = format!("run {run} on {id}, its clock is behind");
+                    context.out.log("start-answered", task, inputs, "by another incarnation");
+                    // Its next hold extends no lease by the clock of the known incarnation.
+                    minion.is_unresponsive = true;
+                    minion.next_hold_at = now;
+                    self.hold_queue.add(id);
+                    self.distrust_start(context, id, task, run);
+                } else {
+                    minion.set_clock(clock_ms, now);
+                }
+                let Some(minion) = self.minions.get_mut(id) else { return };
                 if let Some(known) = minion.runs.get_mut(&(task.clone(), run))
                     && matches!(known.phase, RunPhase::Starting { .. })
                 {
@@ -69,11 +79,31 @@
             // reservation.
             MinionAnswer::Unknown | MinionAnswer::Held { .. } => {
                 context.out.log("start-unanswered", task, format!("run {run} on {id}"), "waits");
-                minion.starts_paused_until = now + REFUSAL_PAUSE;
+                self.distrust_start(context, id, task, run);
             }
         }
     }
 
+    /// Notes that a start may have reached an incarnation that this owner does not know. Its clock began
+    /// anew, so it is far behind the end of the start's validity, and the run gets the longest lease
+    /// that minions grant.
+    fn distrust_start(
+        &mut self,
+        context: &StepContext,
+        id: &MinionId,
+        task: &TaskName,
+        run: RunNumber,
+    ) {
+        let now = context.clock.now;
+        let max_lease = context.settings.max_run_lease.0;
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        minion.starts_paused_until = now + REFUSAL_PAUSE;
+        if let Some(known) = minion.runs.get_mut(&(task.clone(), run)) {
+            let clock_error = max_lease * CLOCK_ERROR_PERMILLE / 1_000;
+            known.may_run_until = now + Millis(max_lease + clock_error);
+        }
+    }
+
     /// Marks a queued job as active, since a minion has told that one of its tasks has started. A
     /// start that was only sent may never arrive.
     pub(super) fn note_started(&mut self, now: Moment, job: &JobId) {
@@ -104,6 +134,7 @@
                 minion_incarnation: reported_incarnation,
                 running,
                 ended,
+                has_more_ends,
             } => {
                 if reported_incarnation != minion.report.minion_incarnation {
                     if reported_incarnation < minion.report.minion_incarnation
@@ -113,6 +144,9 @@
                     }
                     self.begin_incarnation(context, id, reported_incarnation);
                 }
+                if let Some(minion) = self.minions.get_mut(id) {
+                    minion.has_more_ends = has_more_ends;
+                }
                 self.apply_hold_answer(context, id, sent_at, clock_ms, running, ended);
             }
             MinionAnswer::Refused(OrderRefusal::Fenced) => {
@@ -179,8 +213,11 @@
             listed.insert((row.task.clone(), row.run));
             self.apply_running_row(context, id, row);
         }
-        self.release_unlisted_runs(context, id, sent_at, clock_ms, &listed);
-        self.stage.unconfirmed_minions.remove(id);
+        // A run that neither list has may have finished beyond a full page.
+        if self.minions.get(id).is_some_and(|minion| !minion.has_more_ends) {
+            self.release_unlisted_runs(context, id, sent_at, clock_ms, &listed);
+            self.stage.unconfirmed_minions.remove(id);
+        }
         self.throttle_best_effort(context, id);
     }
 
@@ -248,19 +285,19 @@
         }
     }
 
-    /// Opens the steps of timetabled jobs that have become due.
-    pub(super) fn open_due_steps(&mut self, context: &mut StepContext) {
+    /// Opens the occurrences of timetabled jobs that have become due.
+    pub(super) fn open_due_occurrences(&mut self, context: &mut StepContext) {
         let wall_ms = context.clock.wall_ms;
         let timetabled = self.jobs.timetabled_jobs();
         self.work.add(timetabled.len());
         let due: Vec<JobId> = timetabled
             .iter()
-            .filter(|job| self.jobs[job].has_new_due_occurrence(wall_ms))
+            .filter(|job| self.jobs[job].may_open_occurrence(wall_ms))
             .cloned()
             .collect();
         for name in due {
             if let Some(job) = self.jobs.get_mut(&name) {
-                job.open_steps(wall_ms);
+                job.open_due_occurrences(wall_ms);
             }
         }
     }
--- a/crates/fleet/src/pool/job.rs
+++ b/crates/fleet/src/pool/job.rs
@@ -63,10 +63,12 @@
     pub(super) checkpoints: BTreeMap<TaskPosition, Box<str>>,
     /// Failures that are counted in the progress but may still be discounted.
     pub(super) failures: Vec<PendingFailure>,
-    /// Occurrences and steps whose tasks were already made ready.
-    opened_steps: BTreeSet<(u32, u16)>,
-    /// Number of occurrences that were due when steps were last opened.
-    due_occurrences: u32,
+    /// Occurrences whose tasks may run; `occurrences` bounds their number.
+    pub(super) open_occurrences: BTreeSet<u32>,
+    /// Steps of open occurrences whose tasks were already made ready.
+    pub(super) opened_steps: BTreeSet<(u32, u16)>,
+    /// Occurrence that is opened next.
+    pub(super) next_occurrence: u32,
     /// Number of runs that this owner has numbered.
     started_runs: u64,
     /// Whether the progress must be saved.
@@ -108,8 +110,9 @@
             live: BTreeMap::new(),
             checkpoints: BTreeMap::new(),
             failures: Vec::new(),
+            open_occurrences: BTreeSet::new(),
             opened_steps: BTreeSet::new(),
-            due_occurrences: 0,
+            next_occurrence: 0,
             started_runs: 0,
             is_progress_dirty: false,
             saved_through: 0,
@@ -157,49 +160,6 @@
         self.phase.is_final() && self.live.is_empty() && !self.may_have_unknown_runs
     }
 
-    /// Makes the tasks of each step ready that is due and whose preceding steps are done.
-    pub(super) fn open_steps(&mut self, wall_ms: u64) {
-        if self.phase.is_final() {
-            return;
-        }
-        for occurrence in 0..self.spec.occurrences() {
-            if self.spec.due_ms(occurrence) > wall_ms {
-                break;
-            }
-            self.due_occurrences = self.due_occurrences.max(occurrence + 1);
-            for step in 0..self.spec.steps.len() as u16 {
-                self.open_step(occurrence, step);
-            }
-        }
-    }
-
-    /// Whether an occurrence has become due since steps were last opened.
-    pub(super) fn has_new_due_occurrence(&self, wall_ms: u64) -> bool {
-        self.due_occurrences < self.spec.occurrences()
-            && self.spec.due_ms(self.due_occurrences) <= wall_ms
-    }
-
-    fn open_step(&mut self, occurrence: u32, step: u16) {
-        if self.opened_steps.contains(&(occurrence, step)) {
-            return;
-        }
-        let spec = &self.spec.steps[usize::from(step)];
-        let is_done = |after: &u16| self.progress.is_step_done(&self.spec, occurrence, *after);
-        if !spec.after.iter().all(is_done) {
-            return;
-        }
-        let is_open = |index: &u32| {
-            self.progress.mark(occurrence, step, *index) != TaskMark::Done
-                && !self.live.contains_key(&(occurrence, step, *index))
-        };
-        // Placement takes tasks from the end of the list, so the lowest index starts first.
-        let tasks: Vec<u32> = (0..spec.tasks).rev().filter(is_open).collect();
-        self.opened_steps.insert((occurrence, step));
-        if !tasks.is_empty() {
-            self.ready.insert((occurrence, step), tasks);
-        }
-    }
-
     /// Allows a task to start again, unless the task is done or the job's phase is final.
     pub(super) fn make_ready(&mut self, position: TaskPosition) {
         if self.phase.is_final()
@@ -246,6 +206,7 @@
     /// record was written are uncertain again.
     pub(super) fn restore_progress(&mut self, record: ProgressRecord) {
         self.progress = record.progress;
+        self.resume_occurrences();
         let to_pending = |details| PendingFailure { details, is_acknowledgement_sent: false };
         self.failures = record.uncertain_failures.into_iter().map(to_pending).collect();
     }
@@ -257,10 +218,14 @@
             let mark = self.progress.mark(position.0, position.1, position.2);
             let is_uncertain =
                 self.failures.iter().any(|failure| failure.details.task == *position);
-            matches!(mark, TaskMark::Open(failed) if u32::from(failed) >= self.terms.max_attempts)
+            matches!(mark, TaskMark::Open(failed) if failed >= self.terms.max_attempts)
                 && !is_uncertain
         };
-        let positions = self.ready.iter().flat_map(|((occurrence, step), tasks)| {
+        let may_have_exhausted = |(occurrence, step): &(u32, u16)| {
+            self.terms.max_attempts == 0 || self.progress.has_failed_tasks(*occurrence, *step)
+        };
+        let steps = self.ready.iter().filter(|(step, _)| may_have_exhausted(step));
+        let positions = steps.flat_map(|((occurrence, step), tasks)| {
             tasks.iter().map(|index| (*occurrence, *step, *index))
         });
         positions.into_iter().find(is_exhausted)
@@ -269,7 +234,7 @@
     /// Whether a task has failed fewer times than the job's terms allow.
     pub(super) fn has_attempts_left(&self, position: TaskPosition) -> bool {
         let mark = self.progress.mark(position.0, position.1, position.2);
-        matches!(mark, TaskMark::Open(failed) if u32::from(failed) < self.terms.max_attempts)
+        matches!(mark, TaskMark::Open(failed) if failed < self.terms.max_attempts)
     }
 
     /// Returns a run number that is higher than all earlier ones of the job, including
@@ -287,11 +252,6 @@
         self.live.range(range).filter(|(_, live)| live.minion == *minion).count() as u32
     }
 
-    /// Returns the earliest occurrence with ready tasks, or 0.
-    pub(super) fn next_occurrence(&self) -> u32 {
-        self.ready.keys().next().map_or(0, |(occurrence, _)| *occurrence)
-    }
-
     /// Replaces the expected run times; there is one for each step.
     pub(super) fn set_expected_run_times(&mut self, run_times: Box<[Millis]>, version: u64) {
         self.expected_run_times = run_times;
@@ -326,7 +286,7 @@
 
     /// Returns the time from which the objective counts, in milliseconds since 1970.
     fn earliest_start_ms(&self) -> u64 {
-        self.spec.due_ms(self.next_occurrence()).max(self.accepted_ms)
+        self.spec.due_ms(self.first_occurrence()).max(self.accepted_ms)
     }
 
     fn objective_span(&self) -> Millis {
@@ -349,13 +309,12 @@
 
     /// Lists the steps of the next occurrence with tasks that have not started.
     fn unstarted_steps(&self) -> Box<[StepLoad]> {
-        let occurrence = self.next_occurrence();
+        let occurrence = self.first_occurrence();
         let paths = self.remaining_paths();
         let to_load = |(index, step): (usize, &StepSpec)| {
             let number = index as u16;
-            let done = self.progress.done_tasks(occurrence, number);
             let live = self.live.range((occurrence, number, 0)..=(occurrence, number, u32::MAX));
-            let open = u64::from(step.tasks.saturating_sub(done));
+            let open = u64::from(self.progress.open_tasks(&self.spec, occurrence, number));
             let unstarted = open.saturating_sub(live.count() as u64);
             let run_time = self.expected_run_time(index);
             let task_work = reservation_for(step).processor.0.saturating_mul(run_time.0);
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -32,6 +32,13 @@
     Uncertain { retry_at: Moment },
 }
 
+impl MinionRun {
+    /// Whether the run can no longer execute once the leases on its minion have expired.
+    pub(super) fn ends_with_leases(&self, now: Moment) -> bool {
+        self.is_listed || now >= self.may_run_until
+    }
+}
+
 impl RunPhase {
     /// Returns the time at which a stop of the run is sent again.
     pub(super) fn stop_retry_at(self) -> Option<Moment> {
@@ -57,6 +64,10 @@
     pub(super) is_long_running: bool,
     /// Whether a hold of the minion's current incarnation has listed the run.
     pub(super) is_listed: bool,
+    /// Time until which the run may execute although the minion's leases have expired, because its
+    /// start may have reached an incarnation that this owner does not know. Counts until the run is
+    /// listed.
+    pub(super) may_run_until: Moment,
     /// Progress that the task reported last; a long-running task serves at 100.
     pub(super) percent: u8,
     /// Metric that the task reported last: tail latency in milliseconds for a serving task,
@@ -110,6 +121,9 @@
     pub(super) saved_end: u64,
     /// Highest number up to which the minion has been told to drop its finished runs.
     pub(super) acknowledged_end: u64,
+    /// Whether the last answer to a hold listed as many finished runs as an answer can, so that there
+    /// may be more.
+    pub(super) has_more_ends: bool,
     /// Whether a hold is not answered yet.
     pub(super) is_hold_in_flight: bool,
     /// Whether the last completed hold failed or was not answered. No task is started on the minion
@@ -121,8 +135,6 @@
     pub(super) last_hold_at: Moment,
     /// Time before which no task is started on the minion.
     pub(super) starts_paused_until: Moment,
-    /// Whether the minion's VM is being drained, for maintenance or to be offered.
-    pub(super) is_being_drained: bool,
     /// Part of the capacity that may be used, in percent, by the judgement of its VM (`vm_health`).
     pub(super) weight: u8,
     /// Whether one task may start although the weight does not allow it.
@@ -152,21 +164,23 @@
             unsaved_ends: UnsavedEnds::default(),
             saved_end,
             acknowledged_end: saved_end,
+            has_more_ends: false,
             is_hold_in_flight: false,
             is_unresponsive: false,
             next_hold_at: Moment(0),
             last_hold_at: Moment(0),
             starts_paused_until: Moment(0),
-            is_being_drained: false,
             weight: FULL_WEIGHT,
             may_probe: false,
             is_rack_dark: false,
         }
     }
 
-    /// Returns why no task may be started on the minion, or `None` if tasks may be started.
+    /// Returns why no task may be started on the minion by its own state, or `None` if its state
+    /// allows starts. [`PoolOwner::unusable_reason`](super::PoolOwner::unusable_reason) has the other
+    /// reasons.
     pub(super) fn unusable_reason(&self, now: Moment) -> Option<UnusableReason> {
-        if self.report.is_draining || self.is_being_drained {
+        if self.report.is_draining {
             Some(UnusableReason::Draining)
         } else if !self.is_fenced || !self.is_in_roster || self.clock.is_none() {
             Some(UnusableReason::Unconfirmed)
@@ -230,6 +244,15 @@
         self.lease_end = self.lease_end.max(at + Millis(duration + clock_error)).max(now);
     }
 
+    /// Whether a reading of the clock by a call that was sent at `sent_at` is behind what this
+    /// incarnation's clock must show, so that another incarnation has answered.
+    pub(super) fn is_behind(&self, clock_ms: u64, sent_at: Moment) -> bool {
+        self.clock.is_some_and(|(known_ms, at)| {
+            let elapsed_ms = (sent_at - at).0;
+            clock_ms < known_ms + elapsed_ms - elapsed_ms * CLOCK_ERROR_PERMILLE / 1_000
+        })
+    }
+
     /// Records that a run may execute until `lease_end`.
     pub(super) fn set_lease_end(&mut self, lease_end: Moment) {
         self.lease_end = self.lease_end.max(lease_end);
@@ -240,6 +263,12 @@
         now >= self.lease_end
     }
 
+    /// Whether the minion may have finished runs that this owner has not seen and that still count:
+    /// those of a lapsed lease do not.
+    pub(super) fn may_have_unseen_ends(&self, now: Moment) -> bool {
+        self.has_more_ends && !self.are_leases_expired(now)
+    }
+
     /// Adds a run and reserves its resources.
     pub(super) fn insert_run(&mut self, key: RunKey, run: MinionRun) {
         self.may_probe = false;
@@ -276,7 +305,10 @@
 
     /// Whether the minion has no runs and no finished run to report, by all that this owner knows.
     pub(super) fn is_idle(&self) -> bool {
-        self.is_fenced && self.runs.is_empty() && self.processed_end == self.acknowledged_end
+        self.is_fenced
+            && self.runs.is_empty()
+            && self.processed_end == self.acknowledged_end
+            && !self.has_more_ends
     }
 
     /// Whether the minion's last answer is recent enough to describe its current state.
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -30,6 +30,7 @@
 mod load;
 mod maintenance;
 mod minion;
+mod occurrences;
 mod orders;
 mod overload;
 mod pass;
@@ -289,7 +290,8 @@
                 self.on_hold_answered(context, &minion, incarnation, sent_at, answer);
             }
             PoolCall::Start { minion, incarnation, task, run } => {
-                self.on_start_answered(context, &minion, incarnation, &task, run, answer);
+                let origin = (&minion, incarnation, sent_at);
+                self.on_start_answered(context, origin, &task, run, answer);
             }
             PoolCall::Throttle { minion, task, run, percent } => {
                 self.on_throttle_answered(&minion, &task, run, percent, &answer);
@@ -334,7 +336,7 @@
     /// Performs the work that depends on time rather than on an answer.
     pub(crate) fn on_tick(&mut self, context: &mut StepContext) {
         self.retry_load(context);
-        self.open_due_steps(context);
+        self.open_due_occurrences(context);
         self.expire_leases(context);
         self.resend_stops(context);
         self.update_maintenance(context);
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -7,7 +7,7 @@
 use state::{JobId, Millis, MinionId, Moment};
 
 use super::job::task_name;
-use super::minion::{OwnedMinion, RunKey, RunPhase};
+use super::minion::{MinionRun, OwnedMinion, RunKey, RunPhase};
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::io::{MinionCall, MinionTarget};
 use crate::timing::{MAX_HOLD_INTERVAL, MAX_HOLD_WAIT, RUN_LEASE_DURATION, STOP_RETRY_DELAY};
@@ -72,8 +72,7 @@
                         report.minion_incarnation
                     );
                     context.out.log("minion", &report.minion, inputs, "found");
-                    let mut minion = OwnedMinion::new(report.clone(), last_saved_end);
-                    minion.is_being_drained = self.is_offered_or_draining(report.vm.as_ref());
+                    let minion = OwnedMinion::new(report.clone(), last_saved_end);
                     self.minions.insert(report.minion.clone(), minion);
                 }
             }
@@ -87,14 +86,26 @@
         context: &mut StepContext,
         id: &MinionId,
         reason: &str,
+    ) {
+        self.release_runs(context, id, reason, |_| true);
+        self.discount_minion_failures(context, id);
+    }
+
+    /// Releases the runs of a minion for which `is_released` holds.
+    fn release_runs(
+        &mut self,
+        context: &mut StepContext,
+        id: &MinionId,
+        reason: &str,
+        is_released: impl Fn(&MinionRun) -> bool,
     ) {
         let Some(minion) = self.minions.get(id) else { return };
-        let runs: Vec<RunKey> = minion.runs.keys().cloned().collect();
+        let released = minion.runs.iter().filter(|(_, run)| is_released(run));
+        let runs: Vec<RunKey> = released.map(|(key, _)| key.clone()).collect();
         for (task, run) in runs {
             context.out.log("run", &task, format!("run {run} on {id}"), reason.to_owned());
             self.release_run(id, &task, run);
         }
-        self.discount_minion_failures(context, id);
     }
 
     /// Releases the runs of minions whose leases have expired, and removes such minions if
@@ -115,8 +126,11 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
-            self.release_all_runs(context, &id, "its lease has lapsed");
-            if self.minions.get(&id).is_some_and(|minion| !minion.is_listed) {
+            let ends_with_leases = |run: &MinionRun| run.ends_with_leases(now);
+            self.release_runs(context, &id, "its lease has lapsed", ends_with_leases);
+            self.discount_minion_failures(context, &id);
+            let is_gone = |minion: &OwnedMinion| !minion.is_listed && minion.runs.is_empty();
+            if self.minions.get(&id).is_some_and(is_gone) {
                 context.out.log("minion", &id, "not in the registry, lease expired", "forgotten");
                 self.minions.remove(&id);
                 self.save.is_roster_dirty = true;
@@ -154,6 +168,8 @@
     fn send_hold(&mut self, context: &mut StepContext, id: &MinionId) {
         let now = context.clock.now;
         let has_uncertain_failures = self.has_uncertain_failures(id);
+        let is_being_drained =
+            self.minions.get(id).is_some_and(|minion| self.is_being_drained(minion));
         let Some(minion) = self.minions.get_mut(id) else { return };
         minion.is_hold_in_flight = true;
         minion.last_hold_at = now;
@@ -168,7 +184,7 @@
         // The hold must not wait on the minion in two cases: an uncertain failure must soon
         // be confirmed or discounted, and the VM of a minion that is being drained goes
         // down only after the minion has dropped its finished runs.
-        let is_urgent = minion.is_being_drained || has_uncertain_failures;
+        let is_urgent = is_being_drained || has_uncertain_failures;
         let is_acknowledged = minion.acknowledged_end >= minion.saved_end || !is_urgent;
         let may_wait =
             minion.is_fenced && minion.processed_end == minion.saved_end && is_acknowledged;
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -12,12 +12,12 @@
 use std::collections::BTreeMap;
 
 use jobs::{Resources, RunNumber, StepSpec};
-use state::{JobId, Millis, MinionId, TeamId};
+use state::{JobId, Millis, MinionId, Moment, TeamId};
 
 use super::job::{LiveRun, TaskPosition, task_name};
 use super::minion::{MinionRun, OwnedMinion, RunPhase};
 use super::orders::minion_target;
-use super::pass::{PassCapacity, UnusableReason};
+use super::pass::PassCapacity;
 use super::{PoolCall, PoolOwner, StepContext};
 use crate::event::{Measurement, WaitCause};
 use crate::io::MinionCall;
@@ -124,25 +124,6 @@
         self.select_jobs(context);
     }
 
-    /// Lists the minions that may get tasks, with their free capacity.
-    fn usable_capacity(&self, context: &StepContext) -> PassCapacity {
-        let mut capacity = PassCapacity::default();
-        for (id, minion) in self.minions.iter().filter(|(_, minion)| minion.is_listed) {
-            self.work.add(1);
-            let is_evacuated =
-                context.shared.evacuated_data_centres.contains(&minion.report.data_centre);
-            let is_marked_down = self.maintenance.is_marked_down(minion.report.vm.as_ref());
-            let reason = is_evacuated
-                .then_some(UnusableReason::Evacuated)
-                .or(is_marked_down.then_some(UnusableReason::Draining));
-            match reason.or_else(|| minion.unusable_reason(context.clock.now)) {
-                None => capacity.add_minion(id.clone(), &minion.free_capacity()),
-                Some(reason) => capacity.note_unusable(reason, &minion.free_capacity()),
-            }
-        }
-        capacity
-    }
-
     /// Starts tasks of a group one by one, until none is left or no capacity is found.
     fn place_group(
         &mut self,
@@ -357,6 +338,7 @@
                 reservation,
                 is_long_running: job.spec.is_long_running(),
                 is_listed: false,
+                may_run_until: Moment(0),
                 percent: 0,
                 reported_metric: None,
                 processor_share: 100,
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -5,6 +5,7 @@
 //! observe.
 
 mod accepted_jobs;
+mod attempts;
 mod checker;
 mod cloud;
 mod config_rule;
@@ -15,6 +16,7 @@
 mod fixtures;
 mod handover;
 mod injected_fault;
+mod many_ends;
 mod minion;
 mod overload;
 mod owner_work;
@@ -30,5 +32,6 @@
 mod stalls;
 mod store;
 mod throughput;
+mod timetables;
 mod vm_health;
 mod waves;
