Observability: releases of runs say what they depend on

Change: a release without a listed end has a line with whether a hold has listed the run, its phase, when it was started or answered, when a hold confirmed its minion's incarnation, and the end that was counted. pollenfall_run_releases_total counts the reasons. A start's line ends with the age of the confirmation, earlier-runs names its bound, and an answer to a start that was sent to an earlier incarnation is logged.

No decision is changed.

--- a/crates/daemon/src/runtime/load_report.rs
+++ b/crates/daemon/src/runtime/load_report.rs
@@ -57,6 +57,7 @@
             // The waits of started tasks include those for data; the metrics have the rest as well.
             Measurement::RunTime { .. }
             | Measurement::VmHealth(_)
+            | Measurement::RunReleased(_)
             | Measurement::DataWaitsBegun(_)
             | Measurement::DataWaitEnded(..) => {}
         }
--- a/crates/daemon/src/runtime/metrics.rs
+++ b/crates/daemon/src/runtime/metrics.rs
@@ -89,6 +89,7 @@
     save_answer_seconds: Histogram,
     run_time_ratio: HistogramFamily,
     vm_health: Family<KindLabel, Counter>,
+    run_releases: Family<KindLabel, Counter>,
     event_wait_seconds: Histogram,
     data_waits: Counter,
     data_wait_seconds: HistogramFamily,
@@ -210,6 +211,12 @@
                 "Decisions about the health of VMs and racks",
                 Family::default(),
             ),
+            run_releases: register(
+                own,
+                "run_releases",
+                "Runs that were released without a listed end, by the reason",
+                Family::default(),
+            ),
             data_waits: register(
                 own,
                 "data_waits",
@@ -390,6 +397,9 @@
             Measurement::VmHealth(decision) => {
                 self.vm_health.get_or_create(&KindLabel { kind: decision.label() }).inc();
             }
+            Measurement::RunReleased(cause) => {
+                self.run_releases.get_or_create(&KindLabel { kind: cause.label() }).inc();
+            }
             Measurement::RunTime { declared, expected, measured } => {
                 for (kind, estimate) in [("declared", declared), ("expected", expected)] {
                     let ratio = measured.0 as f64 / estimate.0.max(1) as f64;
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -220,12 +220,49 @@
     },
     /// Decision about the health of a VM or a rack.
     VmHealth(VmHealthDecision),
+    /// A run was released without a listed end.
+    RunReleased(ReleaseCause),
     /// Number of tasks that began to wait for capacity near their data.
     DataWaitsBegun(u32),
     /// Time for which a task waited for capacity near its data, and how the wait ended.
     DataWaitEnded(DataWaitOutcome, Millis),
 }
 
+/// Reason why a run was released without a listed end, so that its task starts again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ReleaseCause {
+    /// The leases of a listed run have expired.
+    LeaseExpired,
+    /// The leases of a run that no hold has listed have expired in every incarnation that may have them.
+    UnlistedLeaseExpired,
+    /// The minion has begun a new incarnation.
+    NewIncarnation,
+    /// The minion does not list the run although it should.
+    NotListed,
+}
+
+impl ReleaseCause {
+    /// Returns the label of the cause in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::LeaseExpired => "lease-expired",
+            Self::UnlistedLeaseExpired => "unlisted-lease-expired",
+            Self::NewIncarnation => "new-incarnation",
+            Self::NotListed => "not-listed",
+        }
+    }
+}
+
+impl fmt::Display for ReleaseCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::LeaseExpired | Self::UnlistedLeaseExpired => "its lease has lapsed",
+            Self::NewIncarnation => "its minion has begun a new incarnation",
+            Self::NotListed => "not listed by the minion; released",
+        })
+    }
+}
+
 /// End of a wait for capacity near a task's data.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DataWaitOutcome {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -42,7 +42,7 @@
 pub use crate::core::FleetCore;
 pub use event::{
     CallId, ClientAction, ClientAnswer, ClientCall, ClientTarget, Clock, DataWaitOutcome, Effect,
-    Event, Measurement, ReplyToken, VmHealthDecision, WaitCause,
+    Event, Measurement, ReleaseCause, ReplyToken, VmHealthDecision, WaitCause,
 };
 pub use key::{KeyScope, OwnKey, ShardKey, StoreKey};
 pub use outbox::DecisionLine;
--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -27,6 +27,8 @@
         let now = context.clock.now;
         let Some(minion) = self.minions.get_mut(id) else { return };
         if minion.report.minion_incarnation != incarnation {
+            let inputs = format!("run {run} on {id}, sent to incarnation {incarnation}");
+            context.out.log("start-answered", task, inputs, format!("{answer:?}"));
             return;
         }
         match answer {
@@ -184,6 +186,7 @@
         let Some(minion) = self.minions.get_mut(id) else { return };
         minion.set_clock(clock_ms, now);
         minion.bound_clock(sent_at);
+        minion.confirmed_at = sent_at;
         minion.next_hold_at = now;
         minion.is_unresponsive = false;
         if !minion.is_fenced {
--- a/crates/fleet/src/pool/incarnation.rs
+++ b/crates/fleet/src/pool/incarnation.rs
@@ -24,7 +24,7 @@
         incarnation: u64,
     ) {
         let uncertain_runs = self.take_uncertain_runs(context.clock.now, id);
-        self.release_all_runs(context, id, "its minion has begun a new incarnation");
+        self.release_all_runs(context, id);
         let Some(minion) = self.minions.get(id) else { return };
         let mut report = minion.report.clone();
         report.minion_incarnation = incarnation;
--- a/crates/fleet/src/pool/listed.rs
+++ b/crates/fleet/src/pool/listed.rs
@@ -11,6 +11,7 @@
 use super::job::{LiveRun, position_of};
 use super::minion::{MinionRun, RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
+use crate::event::ReleaseCause;
 use crate::io::RunningRow;
 
 impl PoolOwner {
@@ -105,30 +106,16 @@
         clock_ms: u64,
         listed: &BTreeSet<RunKey>,
     ) {
-        let Some(minion) = self.minions.get(id) else { return };
         let is_missing = |key: &RunKey, run: &MinionRun| {
-            let is_listed = listed.contains(key);
             let should_be_listed = match run.phase {
                 RunPhase::Starting { until_clock } => clock_ms > until_clock,
                 RunPhase::Uncertain { .. } => false,
                 _ => run.confirmed_at < sent_at,
             };
-            should_be_listed && !is_listed
+            should_be_listed && !listed.contains(key)
         };
-        let missing: Vec<RunKey> = minion
-            .runs
-            .iter()
-            .filter(|(key, run)| is_missing(key, run))
-            .map(|(key, _)| key.clone())
-            .collect();
-        for (task, run) in missing {
-            context.out.log(
-                "run",
-                &task,
-                format!("run {run} on {id}"),
-                "not listed by the minion; released",
-            );
-            self.release_run(id, &task, run);
-        }
+        self.release_runs(context, id, |key, run| {
+            is_missing(key, run).then_some(ReleaseCause::NotListed)
+        });
     }
 }
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -311,7 +311,9 @@
         let awaited = self.stage.unconfirmed_minions.iter().filter(|(_, row)| row.may_have_runs);
         let awaited: Vec<&str> = awaited.map(|(minion, _)| minion.as_str()).collect();
         let waited = context.clock.now - self.owned_since;
-        let inputs = format!("{waited} after taking ownership, no answer of {awaited:?}");
+        let bound = self.earlier_lease_bound();
+        let inputs =
+            format!("{waited} after taking ownership, at most {bound}, no answer of {awaited:?}");
         context.out.log("earlier-runs", &self.pool, inputs, "known");
     }
 
@@ -324,6 +326,12 @@
         context.out.log("record", format!("{key:?}"), reason, "skipped");
     }
 
+    /// Returns the time after which the leases that earlier owners have sent have certainly expired.
+    fn earlier_lease_bound(&self) -> Millis {
+        let clock_error = RUN_LEASE_DURATION.0 * CLOCK_ERROR_PERMILLE / 1_000;
+        Millis(RUN_LEASE_DURATION.0 + clock_error + 500)
+    }
+
     /// Allows the start of tasks that an earlier owner may have started, once every minion
     /// of the roster has reported its runs or all leases of earlier owners have expired, and every
     /// minion that answers has listed all its finished runs.
@@ -332,9 +340,7 @@
     /// the roster.
     pub(super) fn resolve_unknown_runs(&mut self, context: &mut StepContext) {
         let now = context.clock.now;
-        let max_lease_ms =
-            RUN_LEASE_DURATION.0 + RUN_LEASE_DURATION.0 * CLOCK_ERROR_PERMILLE / 1_000 + 500;
-        let have_leases_expired = now >= self.owned_since + Millis(max_lease_ms);
+        let have_leases_expired = now >= self.owned_since + self.earlier_lease_bound();
         let has_unseen_ends =
             || self.minions.values().any(|minion| minion.may_have_unseen_ends(now));
         if !self.stage.has_resolved_unknown_runs
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -96,6 +96,8 @@
     pub(super) is_fenced: bool,
     /// Whether the roster in the store has the minion's current incarnation.
     pub(super) is_in_roster: bool,
+    /// Time at which the hold was sent whose answer named the current incarnation last.
+    pub(super) confirmed_at: Moment,
     /// Newest reading of the minion's clock, in milliseconds, and the time of its arrival.
     clock: Option<(u64, Moment)>,
     /// Estimate of the minion's clock, in milliseconds, and the time of the estimate. The reading
@@ -152,6 +154,7 @@
             is_listed: true,
             is_fenced: false,
             is_in_roster: false,
+            confirmed_at: Moment(0),
             clock: None,
             clock_estimate: None,
             lease_end: Moment(0),
@@ -258,6 +261,20 @@
         self.lease_end = self.lease_end.max(lease_end);
     }
 
+    /// Describes a run and what its release depends on, for the log.
+    pub(super) fn describe_run(&self, run: &MinionRun, now: Moment) -> String {
+        let listing = if run.is_listed { "listed" } else { "never listed" };
+        format!(
+            "{listing}, {:?}, started or answered {} ago, incarnation {} confirmed {} ago, leases \
+             ended {} ago by its clock",
+            run.phase,
+            now - run.confirmed_at,
+            self.report.minion_incarnation,
+            now - self.confirmed_at,
+            now - self.lease_end,
+        )
+    }
+
     /// Whether every lease sent has expired, so that no run can still execute.
     pub(super) fn are_leases_expired(&self, now: Moment) -> bool {
         now >= self.lease_end
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -9,6 +9,7 @@
 use super::job::task_name;
 use super::minion::{MinionRun, OwnedMinion, RunKey, RunPhase};
 use super::{PoolCall, PoolOwner, StepContext};
+use crate::event::{Measurement, ReleaseCause};
 use crate::io::{MinionCall, MinionTarget};
 use crate::timing::{MAX_HOLD_INTERVAL, MAX_HOLD_WAIT, RUN_LEASE_DURATION, STOP_RETRY_DELAY};
 
@@ -79,31 +80,32 @@
         }
     }
 
-    /// Releases all runs of a minion on which nothing can execute any more, so that their
-    /// tasks can start elsewhere. `reason` is logged for each run.
-    pub(super) fn release_all_runs(
-        &mut self,
-        context: &mut StepContext,
-        id: &MinionId,
-        reason: &str,
-    ) {
-        self.release_runs(context, id, reason, |_| true);
+    /// Releases all runs of a minion that has begun a new incarnation, so that their tasks can start
+    /// elsewhere.
+    pub(super) fn release_all_runs(&mut self, context: &mut StepContext, id: &MinionId) {
+        self.release_runs(context, id, |_, _| Some(ReleaseCause::NewIncarnation));
         self.discount_minion_failures(context, id);
     }
 
-    /// Releases the runs of a minion for which `is_released` holds.
-    fn release_runs(
+    /// Releases the runs of a minion for which `find_cause` returns a cause, and logs each with what
+    /// determined the release.
+    pub(super) fn release_runs(
         &mut self,
         context: &mut StepContext,
         id: &MinionId,
-        reason: &str,
-        is_released: impl Fn(&MinionRun) -> bool,
+        find_cause: impl Fn(&RunKey, &MinionRun) -> Option<ReleaseCause>,
     ) {
+        let now = context.clock.now;
         let Some(minion) = self.minions.get(id) else { return };
-        let released = minion.runs.iter().filter(|(_, run)| is_released(run));
-        let runs: Vec<RunKey> = released.map(|(key, _)| key.clone()).collect();
-        for (task, run) in runs {
-            context.out.log("run", &task, format!("run {run} on {id}"), reason.to_owned());
+        let describe = |(key, run): (&RunKey, &MinionRun)| {
+            let cause = find_cause(key, run)?;
+            let inputs = format!("run {} on {id}, {}", key.1, minion.describe_run(run, now));
+            Some((key.clone(), cause, inputs))
+        };
+        let released: Vec<_> = minion.runs.iter().filter_map(describe).collect();
+        for ((task, run), cause, inputs) in released {
+            context.out.log("run", &task, inputs, cause.to_string());
+            context.out.measure(Measurement::RunReleased(cause));
             self.release_run(id, &task, run);
         }
     }
@@ -126,8 +128,14 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
-            let ends_with_leases = |run: &MinionRun| run.ends_with_leases(now);
-            self.release_runs(context, &id, "its lease has lapsed", ends_with_leases);
+            self.release_runs(context, &id, |_, run| {
+                let cause = if run.is_listed {
+                    ReleaseCause::LeaseExpired
+                } else {
+                    ReleaseCause::UnlistedLeaseExpired
+                };
+                run.ends_with_leases(now).then_some(cause)
+            });
             self.discount_minion_failures(context, &id);
             let is_gone = |minion: &OwnedMinion| !minion.is_listed && minion.runs.is_empty();
             if self.minions.get(&id).is_some_and(is_gone) {
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -317,13 +317,14 @@
         let until_clock = clock + START_VALIDITY.0;
         minion.extend_lease(until_clock, now);
         let inputs = format!(
-            "run {run}, needs {} {}, free {}, waited {}ms, ready for {}ms ({}), {}",
+            "run {run}, needs {} {}, free {}, waited {}ms, ready for {}ms ({}), minion confirmed {} ago, {}",
             reservation.processor,
             reservation.memory,
             minion.free_capacity().processor,
             context.clock.wall_ms.saturating_sub(job.accepted_ms),
             context.clock.wall_ms.saturating_sub(group.ready_since_ms),
             group.wait_cause.get(),
+            now - minion.confirmed_at,
             context.shared.describe_config(now),
         );
         context.out.log("start", &task, inputs, id.to_string());
