Simulation: orders and connections may outlive a minion's incarnation

The simulation lost an order, and a hold that waits, when the minion's incarnation ended; real minions may carry an order out in the next one, also seconds later (PROTOCOL.md).

New switches, all off by default: orders reach the incarnation that is there when they arrive; connections stay open when an incarnation ends, so that the next one answers a waiting hold; a minion's answers and reports are lost while it carries orders out; its answers are delayed and overtake each other; only orders of one kind are late. The longest lease is one value for daemons and minions.

An end up to a number that a hold named is forgotten as soon as it comes, and the checker counts it as noted then (TWICE: an end is taken note of when `Observed` reaches it). Without the switches the same random numbers are drawn.

--- a/crates/fleet/tests/rules/minion.rs
+++ b/crates/fleet/tests/rules/minion.rs
@@ -29,6 +29,11 @@
     pub is_up: bool,
     /// No message reaches or leaves the minion.
     pub is_partitioned: bool,
+    /// Messages reach the minion, and those that it sends are lost.
+    pub loses_answers: bool,
+    /// Maximum time by which an order extends the lease, by the minion's clock, in milliseconds; it
+    /// outlasts an incarnation.
+    pub max_lease_ms: u64,
     pub runs: BTreeMap<TaskName, FakeRun>,
     /// Virtual time at which the incarnation started; the minion's clock is 0 then.
     started_ms: u64,
@@ -86,15 +91,15 @@
 const MAX_LISTED_ENDS: usize = 500;
 /// Time from the start of a run until its task is at work.
 const STARTUP_MS: u64 = 700;
-/// Maximum time by which an order extends the lease, by the minion's clock.
-const MAX_LEASE_MS: u64 = 10_000;
 
 impl FakeMinion {
-    pub fn new(report: MinionReport, now: u64, clock_permille: u64) -> Self {
+    pub fn new(report: MinionReport, now: u64, clock_permille: u64, max_lease_ms: u64) -> Self {
         Self {
             report,
             is_up: true,
             is_partitioned: false,
+            loses_answers: false,
+            max_lease_ms,
             runs: BTreeMap::new(),
             started_ms: now,
             clock_permille,
@@ -122,16 +127,18 @@
         std::mem::take(&mut self.runs).into_keys().collect()
     }
 
-    /// Starts a new incarnation with the same clock speed, partitioned if the last one was.
+    /// Starts a new incarnation with the same clock speed and links.
     pub fn restart(&mut self, now: u64) {
         let mut report = self.report.clone();
         report.minion_incarnation = now + 1;
         report.is_draining = false;
-        let (clock_permille, is_partitioned) = (self.clock_permille, self.is_partitioned);
-        let (slowdown, fails_all) = (self.slowdown, self.fails_all);
-        *self = Self::new(report, now, clock_permille);
-        (self.is_partitioned, self.slowdown) = (is_partitioned, slowdown);
-        self.fails_all = fails_all;
+        *self = Self {
+            is_partitioned: self.is_partitioned,
+            loses_answers: self.loses_answers,
+            slowdown: self.slowdown,
+            fails_all: self.fails_all,
+            ..Self::new(report, now, self.clock_permille, self.max_lease_ms)
+        };
     }
 
     /// Returns the time since the start of the incarnation by the minion's clock, in
@@ -165,6 +172,13 @@
                 minion_events.push(self.finish_run(&task, kind));
             }
         }
+        // An end up to the number that an owner has saved is forgotten, also if that owner meant the
+        // ends of an earlier incarnation.
+        let has_forgotten = self.ended.iter().any(|row| row.number <= self.saved_end);
+        if has_forgotten {
+            self.ended.retain(|row| row.number > self.saved_end);
+            minion_events.push(MinionEvent::Saved { up_to: self.saved_end });
+        }
         if has_lease_lapsed && self.finished_count > self.saved_end {
             let is_unreported = minion_events.is_empty();
             minion_events.push(MinionEvent::Lapsed { is_unreported });
@@ -256,7 +270,7 @@
     }
 
     fn extend_lease(&mut self, clock: u64, until: u64) {
-        self.lease_end_clock = self.lease_end_clock.max(until.min(clock + MAX_LEASE_MS));
+        self.lease_end_clock = self.lease_end_clock.max(until.min(clock + self.max_lease_ms));
     }
 
     /// Starts a run, and returns the reason if the minion refuses it. A run that is live
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -50,6 +50,8 @@
 const ORDER_TIMEOUT_MS: u64 = 600;
 /// Timeout that a submitter gives with a request.
 const REQUEST_TIMEOUT_MS: u64 = 3_000;
+/// Longest lease that minions grant, unless a test sets another.
+const DEFAULT_MAX_RUN_LEASE: Millis = Millis(10_000);
 
 /// Faults that are active at present.
 #[derive(Debug, Default, Clone)]
@@ -69,11 +71,22 @@
     pub commit_delay_ms: u64,
     /// Share of orders that get no answer and are carried out 2 to 12 s later.
     pub late_order_probability: f64,
+    /// Which orders may be late; `None` for all.
+    pub may_be_late: Option<fn(&MinionCall) -> bool>,
+    /// An order that was sent to one incarnation of a minion is carried out by the one that is there
+    /// when the order arrives.
+    pub orders_outlive_incarnations: bool,
+    /// Connections to a minion stay open when its incarnation ends: the next one answers a waiting
+    /// hold.
+    pub connections_outlive_incarnations: bool,
+    /// Maximum additional time until a minion's answer arrives, in milliseconds, so that answers
+    /// overtake each other.
+    pub max_answer_delay_ms: u64,
     /// Share of runs that fail.
     pub run_failure_probability: f64,
     /// The next daemon whose commit saves progress of jobs without the roster is killed.
     pub kills_between_saves: bool,
-    /// The store keeps the reports of minions that are down or partitioned.
+    /// The store keeps the reports of minions whose messages do not reach it.
     pub keeps_reports: bool,
     /// The cloud answers no daemon.
     pub is_cloud_down: bool,
@@ -114,7 +127,7 @@
         fencing_token: u64,
         order: MinionCall,
         /// Incarnation of the minion when the order was sent. An in-flight order is lost when
-        /// this incarnation ends.
+        /// this incarnation ends, except for [`ActiveFaults::orders_outlive_incarnations`].
         target_incarnation: Option<u64>,
         /// The order is delayed without an answer, by an injected fault.
         is_late: bool,
@@ -219,6 +232,8 @@
     pub processor_cost: Option<ProcessorCost>,
     /// Run times that follow from estimates and racks; `None` for random ones.
     pub run_model: Option<RunModel>,
+    /// Longest lease that minions grant, which daemons find in their settings when they start.
+    max_run_lease: Millis,
     /// Factor that daemons find in their settings when they start.
     pub remote_factor: RemoteFactor,
     /// Number of orders to minions under a fencing token whose ownership record did not exist
@@ -237,6 +252,9 @@
     /// Decisions to start a task, to move a VM, or to stop a task because its VM drains, each with
     /// its daemon.
     pub order_decisions: Vec<(usize, DecisionLine)>,
+    /// Decisions about incarnations of minions and about runs that started or ended without the
+    /// owner's knowledge, each with its virtual time.
+    pub incarnation_decisions: Vec<(u64, DecisionLine)>,
     /// Selections of the jobs that a full pool completes in time.
     pub selection_decisions: Vec<DecisionLine>,
     /// Virtual time, in milliseconds, at which the last run of each job so far was done.
@@ -280,6 +298,7 @@
             ended_runs: Vec::new(),
             processor_cost: None,
             run_model: None,
+            max_run_lease: DEFAULT_MAX_RUN_LEASE,
             remote_factor: RemoteFactor::default(),
             orders_without_ownership: 0,
             accepted_count: 0,
@@ -288,6 +307,7 @@
             pool_decisions: Vec::new(),
             measurements: Vec::new(),
             order_decisions: Vec::new(),
+            incarnation_decisions: Vec::new(),
             selection_decisions: Vec::new(),
             done_at: BTreeMap::new(),
             read_pages: Vec::new(),
@@ -327,26 +347,32 @@
 
     /// Starts a new incarnation of a daemon.
     pub fn start_daemon(&mut self, daemon: usize) {
+        self.daemons[daemon].incarnation += 1;
+        let settings = self.build_settings(daemon);
         let daemon_state = &mut self.daemons[daemon];
-        daemon_state.incarnation += 1;
-        let settings = FleetSettings {
+        daemon_state.core = Some(FleetCore::new(settings));
+        daemon_state.suspended_until = 0;
+        daemon_state.disturbed_at = self.now;
+        daemon_state.processor = Processor::default();
+        let incarnation = daemon_state.incarnation;
+        let jitter = self.rng.random_range(0..TICK_INTERVAL_MS);
+        self.schedule(jitter, daemon, incarnation, Message::Tick);
+    }
+
+    /// Builds the settings that the present incarnation of a daemon finds when it starts.
+    fn build_settings(&self, daemon: usize) -> FleetSettings {
+        let daemon_state = &self.daemons[daemon];
+        FleetSettings {
             daemon: format!("edge-{daemon}").parse().expect("valid name"),
             incarnation: Incarnation(daemon_state.incarnation),
             data_centre: "dc-1".parse().expect("valid name"),
             capacity: daemon_state.capacity,
-            max_run_lease: Millis(10_000),
+            max_run_lease: self.max_run_lease,
             controller_lease: Millis(3_000),
             max_stop: Millis(1_000),
             config_apply: Millis(CONFIG_APPLY_MS),
             remote_factor: self.remote_factor,
-        };
-        daemon_state.core = Some(FleetCore::new(settings));
-        daemon_state.suspended_until = 0;
-        daemon_state.disturbed_at = self.now;
-        daemon_state.processor = Processor::default();
-        let incarnation = daemon_state.incarnation;
-        let jitter = self.rng.random_range(0..TICK_INTERVAL_MS);
-        self.schedule(jitter, daemon, incarnation, Message::Tick);
+        }
     }
 
     pub fn kill_daemon(&mut self, daemon: usize) {
@@ -381,7 +407,8 @@
             let fake = FakeVm::new(report.pool.clone(), Some(report.minion.clone()));
             self.cloud.vms.entry(vm).or_insert(fake);
         }
-        let minion = FakeMinion::new(report.clone(), self.now, clock_permille);
+        let max_lease_ms = self.max_run_lease.0;
+        let minion = FakeMinion::new(report.clone(), self.now, clock_permille, max_lease_ms);
         self.minions.insert(report.minion.clone(), minion);
     }
 
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -187,7 +187,10 @@
             }
             Effect::Minion { call, target, fencing_token, order } => {
                 self.orders_without_ownership += u64::from(!self.store.has_owner(fencing_token));
-                let is_late = self.rng.random_bool(self.faults.late_order_probability);
+                let may_be_late =
+                    self.faults.may_be_late.is_none_or(|may_be_late| may_be_late(&order));
+                let is_late =
+                    self.rng.random_bool(self.faults.late_order_probability) && may_be_late;
                 let delay = if is_late { self.rng.random_range(2_000..12_000) } else { delay };
                 if is_late {
                     let event = Event::Minion(call, MinionAnswer::Unknown);
@@ -220,6 +223,9 @@
                 match line.decision {
                     "pool" => self.pool_decisions.push((self.now, daemon, line)),
                     "selection" => self.selection_decisions.push(line),
+                    "minion" | "run" | "start-answered" | "unknown-run" => {
+                        self.incarnation_decisions.push((self.now, line))
+                    }
                     "start" | "move" => self.order_decisions.push((daemon, line)),
                     // Other lines of a move have its answer.
                     "move-vm" if line.outcome.starts_with("to ") => {
@@ -311,7 +317,9 @@
         let run_ms = self.model_run_time(&target.minion, &order).unwrap_or(drawn_ms);
         let is_reachable = self.minions.get(&target.minion).is_some_and(|fake| {
             let is_same_incarnation = target_incarnation == Some(fake.report.minion_incarnation);
-            fake.is_up && !fake.is_partitioned && is_same_incarnation
+            let reaches_incarnation =
+                is_same_incarnation || self.faults.orders_outlive_incarnations;
+            fake.is_up && !fake.is_partitioned && reaches_incarnation
         });
         if !is_reachable {
             if !is_late {
@@ -373,8 +381,28 @@
                 order,
                 until: self.now + wait,
             }),
-            None => self.schedule_answer(daemon, incarnation, 1, Event::Minion(call, answer)),
+            None => {
+                let origin = (daemon, incarnation, call);
+                self.schedule_minion_answer(&target.minion, origin, answer);
+            }
+        }
+    }
+
+    /// Schedules the answer that a minion sends now.
+    pub(super) fn schedule_minion_answer(
+        &mut self,
+        minion: &MinionId,
+        (daemon, incarnation, call): (usize, u64, CallId),
+        answer: MinionAnswer,
+    ) {
+        if self.minions[minion].loses_answers {
+            let event = Event::Minion(call, MinionAnswer::Unknown);
+            return self.schedule_answer(daemon, incarnation, ORDER_TIMEOUT_MS, event);
         }
+        let event = Event::Minion(call, answer);
+        let max_delay = self.faults.max_answer_delay_ms;
+        let delay = if max_delay > 0 { self.rng.random_range(0..=max_delay) } else { 0 };
+        self.schedule_answer(daemon, incarnation, 1 + delay, event);
     }
 
     pub(super) fn find_step(&self, task: &TaskName) -> Option<jobs::StepSpec> {
--- a/crates/fleet/tests/rules/simulation/environment.rs
+++ b/crates/fleet/tests/rules/simulation/environment.rs
@@ -86,7 +86,7 @@
         }
         for (id, fake) in &self.minions {
             let key = StoreKey::Minion(id.clone());
-            if fake.is_up && !fake.is_partitioned {
+            if fake.is_up && !fake.is_partitioned && !fake.loses_answers {
                 let value = ItemValue::Minion(fake.report.clone());
                 if self.store.get(&key).is_none_or(|item| item.value != value) {
                     self.store.put(key, value, None);
@@ -196,10 +196,9 @@
         let pending = std::mem::take(&mut self.holds);
         for hold in pending {
             let Some(fake) = self.minions.get_mut(&hold.minion) else { continue };
-            if !fake.is_up
-                || fake.is_partitioned
-                || fake.report.minion_incarnation != hold.minion_incarnation
-            {
+            let is_same_incarnation = fake.report.minion_incarnation == hold.minion_incarnation;
+            let is_connected = is_same_incarnation || self.faults.connections_outlive_incarnations;
+            if !fake.is_up || fake.is_partitioned || !is_connected {
                 let event = Event::Minion(hold.call, MinionAnswer::Unknown);
                 self.schedule_answer(hold.daemon, hold.incarnation, ORDER_TIMEOUT_MS, event);
                 continue;
@@ -209,7 +208,9 @@
                 continue;
             }
             let order = match hold.order {
+                // A hold acts on the incarnation that it reached; the next one only lists its runs.
                 MinionCall::Hold { saved_end, wait, .. } => {
+                    let saved_end = if is_same_incarnation { saved_end } else { 0 };
                     MinionCall::Hold { until_clock: None, saved_end, wait }
                 }
                 other => other,
@@ -217,12 +218,8 @@
             let (answer, minion_events) =
                 fake.execute_order(self.now, hold.fencing_token, &order, None, (0, false));
             self.record_minion_events(&hold.minion, minion_events, false);
-            self.schedule_answer(
-                hold.daemon,
-                hold.incarnation,
-                1,
-                Event::Minion(hold.call, answer),
-            );
+            let origin = (hold.daemon, hold.incarnation, hold.call);
+            self.schedule_minion_answer(&hold.minion, origin, answer);
         }
     }
 }
