Tests of orders that an unknown incarnation of a minion carries out

Each test drives one path on which an order meant for a minion's earlier incarnation is carried out by the next one.

--- a/crates/fleet/tests/rules/accepted_jobs.rs
+++ b/crates/fleet/tests/rules/accepted_jobs.rs
@@ -106,7 +106,7 @@
 }
 
 /// Returns the daemon that owns a pool.
-fn find_owner(simulation: &Simulation, pool: &str) -> usize {
+pub(crate) fn find_owner(simulation: &Simulation, pool: &str) -> usize {
     let pool: PoolId = pool.parse().expect("valid name");
     let is_owned = |(_, _, line): &&(u64, usize, fleet::DecisionLine)| {
         line.id == pool.as_str().into() && &*line.outcome == "owned"
--- a/crates/fleet/tests/rules/main.rs
+++ b/crates/fleet/tests/rules/main.rs
@@ -33,5 +33,6 @@
 mod store;
 mod throughput;
 mod timetables;
+mod unknown_incarnations;
 mod vm_health;
 mod waves;
--- a/crates/fleet/tests/rules/replaced_minions.rs
+++ b/crates/fleet/tests/rules/replaced_minions.rs
@@ -37,7 +37,7 @@
     simulation
 }
 
-fn first_minion() -> MinionId {
+pub(crate) fn first_minion() -> MinionId {
     "i-00".parse().expect("valid name")
 }
 
@@ -45,7 +45,7 @@
     "vm-00".parse().expect("valid name")
 }
 
-fn job_name() -> JobId {
+pub(crate) fn job_name() -> JobId {
     "5c0e7a21d94b36f8".parse().expect("valid name")
 }
 
@@ -86,6 +86,46 @@
     assert!(have_served);
 }
 
+/// Ends the incarnation of a minion and starts the next one at once.
+pub(crate) fn restart_at_once(simulation: &mut Simulation, minion: &MinionId) {
+    simulation.crash_minion(minion);
+    simulation.restart_minion(minion);
+}
+
+/// Cuts a minion off, or reconnects it.
+pub(crate) fn set_partitioned(
+    simulation: &mut Simulation,
+    minion: &MinionId,
+    is_partitioned: bool,
+) {
+    simulation.minions.get_mut(minion).expect("a minion").is_partitioned = is_partitioned;
+}
+
+/// Loses all that a minion sends, or no longer.
+pub(crate) fn set_answers_lost(
+    simulation: &mut Simulation,
+    minion: &MinionId,
+    loses_answers: bool,
+) {
+    simulation.minions.get_mut(minion).expect("a minion").loses_answers = loses_answers;
+}
+
+/// Submits a job of one step, whose runs take `run_ms` milliseconds, after `delay` milliseconds.
+pub(crate) fn submit_timed_job(
+    simulation: &mut Simulation,
+    job: JobId,
+    delay: u64,
+    tasks: u32,
+    run_ms: u64,
+) {
+    let mut step = StepSpec { tasks, estimate: Millis(run_ms), ..StepSpec::default() };
+    step.demand.processor = Millicores(1_000);
+    let spec = JobSpec { payload: "text".into(), steps: vec![step], timetable: None };
+    simulation.true_run_ms.insert(job.clone(), run_ms);
+    let team = "team-0".parse().expect("valid name");
+    simulation.plan_job(delay, job, PlannedJob { team, spec, queue: 0, cancel_after: None });
+}
+
 /// Returns whether a start was ordered to a minion.
 fn has_start_on(simulation: &Simulation, minion: &MinionId) -> bool {
     let mut lines = simulation.order_decisions.iter().map(|(_, line)| line);
@@ -252,19 +292,13 @@
     simulation.crash_minion(&minion);
     simulation.run_until(simulation.now + outage_ms);
     simulation.restart_minion(&minion);
-    let mut step = StepSpec { tasks: 4, estimate: Millis(RUN_MS), ..StepSpec::default() };
-    step.demand.processor = Millicores(1_000);
-    let spec = JobSpec { payload: "text".into(), steps: vec![step], timetable: None };
-    let job: JobId = "5c0e7a21d94b36f8".parse().expect("valid name");
-    simulation.true_run_ms.insert(job.clone(), RUN_MS);
-    let team = "team-0".parse().expect("valid name");
-    simulation.plan_job(10, job, PlannedJob { team, spec, queue: 0, cancel_after: None });
+    submit_timed_job(&mut simulation, job_name(), 10, 4, RUN_MS);
     simulation.run_until(simulation.now + 90);
     // The minion is cut off, and the store keeps the report of the earlier incarnation.
     simulation.faults.keeps_reports = true;
-    simulation.minions.get_mut(&minion).expect("a minion").is_partitioned = true;
+    set_partitioned(&mut simulation, &minion, true);
     simulation.run_until(simulation.now + 12_000);
-    simulation.minions.get_mut(&minion).expect("a minion").is_partitioned = false;
+    set_partitioned(&mut simulation, &minion, false);
     simulation.run_until(simulation.now + 12_000);
     assert_eq!(simulation.checker.violations, Vec::new());
 }
--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -375,6 +375,19 @@
         }
     }
 
+    /// Sets the longest lease that minions grant, before the first message is delivered.
+    pub fn set_max_run_lease(&mut self, lease: Millis) {
+        assert_eq!(self.event_count, 0, "the daemons have read their settings");
+        self.max_run_lease = lease;
+        for minion in self.minions.values_mut() {
+            minion.max_lease_ms = lease.0;
+        }
+        for daemon in 0..self.daemons.len() {
+            let settings = self.build_settings(daemon);
+            self.daemons[daemon].core = Some(FleetCore::new(settings));
+        }
+    }
+
     pub fn kill_daemon(&mut self, daemon: usize) {
         self.daemons[daemon].core = None;
     }
@@ -453,6 +466,18 @@
         self.now = self.now.max(until);
     }
 
+    /// Returns the orders that have not arrived at a minion, each with its arrival time.
+    pub fn in_flight_orders(&self, minion: &MinionId) -> Vec<(u64, &MinionCall)> {
+        let messages = self.messages.iter();
+        let orders = messages.filter_map(|((at, _), (_, _, message))| match message {
+            Message::OrderArrives { target, order, .. } if target.minion == *minion => {
+                Some((*at, order))
+            }
+            _ => None,
+        });
+        orders.collect()
+    }
+
     /// Counts the tasks of a job's first step that are at work.
     pub fn count_serving(&self, job: &JobId) -> u32 {
         let build_task = |index| TaskName { job: job.clone(), occurrence: 0, step: 0, index };
