Seeded runs in which minions restart while orders are on their way

Kind RestartedMinions: one or two minions of a pool restart at once, orders and sometimes connections outlive the incarnation, their answers may be lost, they are cut off for longer than the longest lease, and the pool's owner may be killed or stopped. Half of the runs have a longest lease of 6,000 ms.

--- a/crates/fleet/tests/rules/injected_fault.rs
+++ b/crates/fleet/tests/rules/injected_fault.rs
@@ -1,17 +1,39 @@
 //! Kinds of faults that the seeded runs inject.
 
+use std::collections::BTreeSet;
+
 use rand::Rng;
-use state::{DataCentreId, MinionId};
+use state::{DataCentreId, JobId, MinionId};
 
+use crate::accepted_jobs::find_owner as find_pool_owner;
+use crate::replaced_minions::{
+    restart_at_once, set_answers_lost, set_partitioned, submit_timed_job,
+};
 use crate::seeded_runs::{DAEMON_COUNT, submit_many_jobs};
 use crate::simulation::Simulation;
 
 /// Time for which all daemons are down; longer than the leases of runs on a minion.
 const LONG_DOWNTIME_MS: u64 = 8_000;
-/// Minimum time until a minion restarts; longer than the delivery of an order takes.
+/// Minimum time until a minion restarts after an outage; longer than the delivery of an order takes.
 const RESTART_DELAY_MS: u64 = 700;
 /// Maximum duration of a silence of the store; longer than a watch waits for an answer.
 const MAX_SILENCE_MS: u64 = 9_000;
+/// Time for which restarted minions are cut off; longer than the longest lease.
+const LONG_CUT_MS: u64 = 13_000;
+/// Time until minions restart for the first time; their clocks are then further ahead of those of the
+/// next incarnations than the longest lease.
+const MIN_UPTIME_MS: u64 = 14_000;
+/// Time in which jobs are submitted and minions restart.
+const RESTART_SPAN_MS: u64 = 500;
+/// Maximum time from the restart of minions until they are cut off, if their answers arrive.
+const MAX_CUT_DELAY_MS: u64 = 400;
+/// Maximum time from the restart of minions until they are cut off, if their answers are lost.
+const MAX_UNANSWERED_CUT_DELAY_MS: u64 = 2_000;
+/// Minimum run time of a task that starts around the restart of minions; most are longer than the
+/// longest lease.
+const MIN_LONG_RUN_MS: u64 = 9_000;
+/// Number of jobs that are submitted around the restart of minions.
+const RESTART_JOBS: u64 = 3;
 /// Kind of fault that a run injects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum InjectedFault {
@@ -56,6 +78,9 @@
     AddedDaemons,
     /// A daemon that owns a shard is gone for good, and another one joins later.
     ReplacedDaemons,
+    /// Minions restart at once, while orders are on their way and jobs with long runs start. They are
+    /// cut off soon after, and the owner of their pool may end.
+    RestartedMinions,
     /// A maintenance wave, and single faults drawn at random.
     Mixed,
 }
@@ -86,6 +111,61 @@
     owned.map(|(_, daemon, _)| *daemon)
 }
 
+/// Submits jobs whose runs may be longer than the longest lease, around the restart of minions.
+fn submit_long_jobs(simulation: &mut Simulation) {
+    for number in 0..RESTART_JOBS {
+        let name = format!("{:016x}", 0x1_0000_0000 + simulation.now * RESTART_JOBS + number);
+        let job: JobId = name.parse().expect("valid name");
+        let delay = simulation.rng.random_range(0..RESTART_SPAN_MS);
+        let run_ms = simulation.rng.random_range(MIN_LONG_RUN_MS..LONG_CUT_MS);
+        submit_timed_job(simulation, job, delay, 4, run_ms);
+    }
+}
+
+/// Draws a minion of the first pool.
+fn draw_minion(simulation: &mut Simulation) -> MinionId {
+    let minions = simulation.minions.iter();
+    let of_pool = minions.filter(|(_, fake)| fake.is_up && fake.report.pool.as_str() == "pool-0");
+    let minions: Vec<MinionId> = of_pool.map(|(minion, _)| minion.clone()).collect();
+    minions[simulation.rng.random_range(0..minions.len())].clone()
+}
+
+/// Restarts minions while orders to them are on their way, cuts them off, and may end the owner of
+/// their pool.
+fn restart_and_cut(simulation: &mut Simulation) {
+    simulation.run_until(simulation.now.max(MIN_UPTIME_MS));
+    let minions = BTreeSet::from([draw_minion(simulation), draw_minion(simulation)]);
+    simulation.faults.orders_outlive_incarnations = true;
+    simulation.faults.connections_outlive_incarnations = simulation.rng.random_bool(0.5);
+    simulation.faults.keeps_reports = true;
+    submit_long_jobs(simulation);
+    let restart_delay = simulation.rng.random_range(0..RESTART_SPAN_MS);
+    simulation.run_until(simulation.now + restart_delay);
+    let loses_answers = simulation.rng.random_bool(0.5);
+    for minion in &minions {
+        restart_at_once(simulation, minion);
+        set_answers_lost(simulation, minion, loses_answers);
+    }
+    let max_delay = if loses_answers { MAX_UNANSWERED_CUT_DELAY_MS } else { MAX_CUT_DELAY_MS };
+    let cut_delay = simulation.rng.random_range(0..max_delay);
+    simulation.run_until(simulation.now + cut_delay);
+    minions.iter().for_each(|minion| set_partitioned(simulation, minion, true));
+    let owner = find_pool_owner(simulation, "pool-0");
+    match simulation.rng.random_range(0..3) {
+        0 => simulation.kill_daemon(owner),
+        1 => simulation.stop_daemon(owner),
+        _ => {}
+    }
+    simulation.run_until(simulation.now + LONG_CUT_MS);
+    for minion in &minions {
+        set_answers_lost(simulation, minion, false);
+        set_partitioned(simulation, minion, false);
+    }
+    if !simulation.is_up(owner) {
+        simulation.start_daemon(owner);
+    }
+}
+
 /// Injects one fault at the virtual time `at`, for some seconds, and then removes it.
 pub fn inject_fault(simulation: &mut Simulation, fault: InjectedFault, at: u64) {
     simulation.run_until(at);
@@ -134,6 +214,7 @@
             simulation.faults.kills_between_saves = true;
             simulation.run_until(at + 6_500);
         }
+        InjectedFault::RestartedMinions => restart_and_cut(simulation),
         InjectedFault::DrainedMinions => {
             simulation.minions.get_mut(&minion).expect("known minion").report.is_draining = true;
         }
--- a/crates/fleet/tests/rules/seeded_runs.rs
+++ b/crates/fleet/tests/rules/seeded_runs.rs
@@ -21,6 +21,8 @@
 const SPARE_VM_COUNT: usize = 3;
 /// Number of seeds of each case, unless the environment variable SEEDS or SEED is set.
 const SEEDS_PER_FAULT: u64 = 20;
+/// Longest lease that minions grant in half of the runs in which minions restart.
+const SHORT_MAX_LEASE: Millis = Millis(6_000);
 /// Virtual time after which no fault begins and no planned job is submitted.
 const FAULTS_END_MS: u64 = 30_000;
 /// Virtual time at which a run ends, after a period without faults.
@@ -181,6 +183,9 @@
     prepare: impl FnOnce(&mut Simulation),
 ) -> Simulation {
     let mut simulation = build_simulation(seed);
+    if fault == InjectedFault::RestartedMinions && seed % 2 == 1 {
+        simulation.set_max_run_lease(SHORT_MAX_LEASE);
+    }
     prepare(&mut simulation);
     if matches!(fault, InjectedFault::Wave | InjectedFault::Mixed) {
         let vms: Vec<VmId> = simulation.cloud.vms.keys().step_by(2).cloned().collect();
@@ -229,6 +234,7 @@
 #[case(InjectedFault::SilentWatches)]
 #[case(InjectedFault::AddedDaemons)]
 #[case(InjectedFault::ReplacedDaemons)]
+#[case(InjectedFault::RestartedMinions)]
 fn rules_hold_under_fault(#[case] fault: InjectedFault) {
     for seed in read_seeds() {
         assert_rules_held(&run_scenario(seed, fault), fault, seed);
