--- a/crates/fleet/tests/rules/simulation.rs
+++ b/crates/fleet/tests/rules/simulation.rs
@@ -53,6 +53,9 @@
 /// Longest lease that minions grant, unless a test sets another.
 const DEFAULT_MAX_RUN_LEASE: Millis = Millis(10_000);
 
+/// Whether an order is of a kind.
+pub type OrderKind = fn(&MinionCall) -> bool;
+
 /// Faults that are active at present.
 #[derive(Debug, Default, Clone)]
 pub struct ActiveFaults {
@@ -72,7 +75,7 @@
     /// Share of orders that get no answer and are carried out 2 to 12 s later.
     pub late_order_probability: f64,
     /// Which orders may be late; `None` for all.
-    pub may_be_late: Option<fn(&MinionCall) -> bool>,
+    pub may_be_late: Option<OrderKind>,
     /// An order that was sent to one incarnation of a minion is carried out by the one that is there
     /// when the order arrives.
     pub orders_outlive_incarnations: bool,
--- a/crates/fleet/tests/rules/unknown_incarnations.rs
+++ b/crates/fleet/tests/rules/unknown_incarnations.rs
@@ -12,7 +12,7 @@
     first_minion, job_name, restart_at_once, set_answers_lost, set_partitioned, submit_timed_job,
 };
 use crate::seeded_runs::{DAEMON_COUNT, JobBatch, build_config, build_report, submit_batch};
-use crate::simulation::{PlannedJob, Simulation};
+use crate::simulation::{OrderKind, PlannedJob, Simulation};
 
 /// Time until the minion restarts, in milliseconds. Its earlier clock is further ahead of the next
 /// one than the longest lease.
@@ -69,7 +69,7 @@
 }
 
 /// Waits until an order of a kind is on its way to the first minion, and returns its arrival time.
-fn wait_for_order(simulation: &mut Simulation, is_kind: fn(&MinionCall) -> bool) -> u64 {
+fn wait_for_order(simulation: &mut Simulation, is_kind: OrderKind) -> u64 {
     let until = simulation.now + MAX_ORDER_WAIT_MS;
     while simulation.now < until {
         let orders = simulation.in_flight_orders(&first_minion());
@@ -83,7 +83,7 @@
 
 /// Waits until an order of a kind was sent to the first minion as a late one, and returns its arrival
 /// time.
-fn wait_for_late_order(simulation: &mut Simulation, is_kind: fn(&MinionCall) -> bool) -> u64 {
+fn wait_for_late_order(simulation: &mut Simulation, is_kind: OrderKind) -> u64 {
     simulation.faults.may_be_late = Some(is_kind);
     simulation.faults.late_order_probability = 1.0;
     let arrival = wait_for_order(simulation, is_kind);
@@ -265,7 +265,7 @@
 #[case::late_and_known(wait_for_late_order, 1_500)]
 #[case::late_and_unknown(wait_for_late_order, 20)]
 fn hold_for_the_earlier_incarnation_forgets_no_ends(
-    #[case] wait: fn(&mut Simulation, fn(&MinionCall) -> bool) -> u64,
+    #[case] wait: fn(&mut Simulation, OrderKind) -> u64,
     #[case] before_ms: u64,
     #[values(1, 2, 3, 5)] seed: u64,
 ) {
