--- a/crates/fleet/tests/rules/injected_fault.rs
+++ b/crates/fleet/tests/rules/injected_fault.rs
@@ -81,10 +81,19 @@
     /// Minions restart at once, while orders are on their way and jobs with long runs start. They are
     /// cut off soon after, and the owner of their pool may end.
     RestartedMinions,
+    /// The same, but holds for an earlier incarnation name no saved ends to the next one.
+    RestartedMinionsUntold,
     /// A maintenance wave, and single faults drawn at random.
     Mixed,
 }
 
+impl InjectedFault {
+    /// Whether minions restart at once, while orders to them are on their way.
+    pub fn restarts_at_once(self) -> bool {
+        matches!(self, Self::RestartedMinions | Self::RestartedMinionsUntold)
+    }
+}
+
 /// Faults that [`InjectedFault::Mixed`] draws from.
 pub const SINGLE_FAULTS: [InjectedFault; 14] = [
     InjectedFault::KilledDaemons,
@@ -215,6 +224,10 @@
             simulation.run_until(at + 6_500);
         }
         InjectedFault::RestartedMinions => restart_and_cut(simulation),
+        InjectedFault::RestartedMinionsUntold => {
+            simulation.faults.acknowledgements_end_with_incarnations = true;
+            restart_and_cut(simulation);
+        }
         InjectedFault::DrainedMinions => {
             simulation.minions.get_mut(&minion).expect("known minion").report.is_draining = true;
         }
--- a/crates/fleet/tests/rules/seeded_runs.rs
+++ b/crates/fleet/tests/rules/seeded_runs.rs
@@ -183,7 +183,7 @@
     prepare: impl FnOnce(&mut Simulation),
 ) -> Simulation {
     let mut simulation = build_simulation(seed);
-    if fault == InjectedFault::RestartedMinions && seed % 2 == 1 {
+    if fault.restarts_at_once() && seed % 2 == 1 {
         simulation.set_max_run_lease(SHORT_MAX_LEASE);
     }
     prepare(&mut simulation);
@@ -235,6 +235,7 @@
 #[case(InjectedFault::AddedDaemons)]
 #[case(InjectedFault::ReplacedDaemons)]
 #[case(InjectedFault::RestartedMinions)]
+#[case(InjectedFault::RestartedMinionsUntold)]
 fn rules_hold_under_fault(#[case] fault: InjectedFault) {
     for seed in read_seeds() {
         assert_rules_held(&run_scenario(seed, fault), fault, seed);
--- a/crates/fleet/tests/rules/simulation/delivery.rs
+++ b/crates/fleet/tests/rules/simulation/delivery.rs
@@ -301,6 +301,25 @@
         self.answer_watches();
     }
 
+    /// Returns an order without the saved ends that the active faults take out of it.
+    fn order_as_received(
+        &self,
+        order: MinionCall,
+        minion: &MinionId,
+        target_incarnation: Option<u64>,
+    ) -> MinionCall {
+        let is_same_incarnation =
+            target_incarnation == Some(self.minions[minion].report.minion_incarnation);
+        match order {
+            MinionCall::Hold { until_clock, wait, .. }
+                if self.faults.acknowledgements_end_with_incarnations && !is_same_incarnation =>
+            {
+                MinionCall::Hold { until_clock, saved_end: 0, wait }
+            }
+            other => other,
+        }
+    }
+
     /// Carries out an order that arrives at a minion. A late order gets no answer here, since
     /// its answer as unknown is scheduled when the order is sent.
     pub(super) fn deliver_order(
@@ -336,6 +355,7 @@
             MinionCall::Start { task, .. } => self.true_run_ms.get(&task.job).copied(),
             _ => None,
         };
+        let order = self.order_as_received(order, &target.minion, target_incarnation);
         let fake = self.minions.get_mut(&target.minion).expect("minion is reachable");
         let run_ms = true_run_ms.unwrap_or(run_ms) * fake.slowdown;
         let (run_ms, fails) =
--- a/crates/fleet/tests/rules/unknown_incarnations.rs
+++ b/crates/fleet/tests/rules/unknown_incarnations.rs
@@ -63,6 +63,11 @@
     matches!(order, MinionCall::Start { .. })
 }
 
+/// Whether an order is a hold that names an end of leases.
+fn extends_leases(order: &MinionCall) -> bool {
+    matches!(order, MinionCall::Hold { until_clock: Some(_), .. })
+}
+
 /// Whether an order is a hold that names saved ends.
 fn names_saved_ends(order: &MinionCall) -> bool {
     matches!(order, MinionCall::Hold { saved_end, .. } if *saved_end > 0)
@@ -168,7 +173,7 @@
     let mut simulation = build_simulation(seed, 4, Millis(max_lease));
     submit_timed_job(&mut simulation, numbered_job(1), 0, 16, 300);
     run_for(&mut simulation, 1_000);
-    let arrival = wait_for_late_order(&mut simulation, names_saved_ends);
+    let arrival = wait_for_late_order(&mut simulation, extends_leases);
     // The hold was given up, and the owner has had an answer since.
     assert!(simulation.now + GIVEN_UP_MS < arrival - before_ms);
     simulation.run_until(arrival - before_ms);
@@ -258,13 +263,13 @@
     assert_eq!(simulation.checker.violations, Vec::new());
 }
 
-/// Guards against a hold that names saved ends of the earlier incarnation and is carried out by the
-/// next one, which thereby forgets its own first ends: their tasks run again.
+/// Guards against a hold that names saved ends although the minion was told them before: the next
+/// incarnation, which carries it out, forgets its own first ends, and their tasks run again.
 #[rstest]
 #[case::in_flight(wait_for_order, 1)]
 #[case::late_and_known(wait_for_late_order, 1_500)]
 #[case::late_and_unknown(wait_for_late_order, 20)]
-fn hold_for_the_earlier_incarnation_forgets_no_ends(
+fn hold_after_an_acknowledgement_forgets_no_ends(
     #[case] wait: fn(&mut Simulation, OrderKind) -> u64,
     #[case] before_ms: u64,
     #[values(1, 2, 3, 5)] seed: u64,
@@ -272,16 +277,42 @@
     let mut simulation = build_simulation(seed, 4, MAX_LEASE);
     submit_timed_job(&mut simulation, numbered_job(1), 0, 16, 300);
     run_for(&mut simulation, 1_000);
+    assert!(simulation.minions[&first_minion()].saved_end > 0, "no end is acknowledged");
+    let arrival = wait(&mut simulation, extends_leases);
+    restart_before_arrival(&mut simulation, arrival, before_ms);
+    run_for(&mut simulation, RECOVERY_MS);
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
+
+/// Guards against a hold that tells a minion its saved ends and is carried out by the next incarnation,
+/// which thereby forgets its own first ends: their tasks run again.
+#[rstest]
+#[case::in_flight(wait_for_order, 1)]
+#[case::late_and_known(wait_for_late_order, 1_500)]
+#[case::late_and_unknown(wait_for_late_order, 20)]
+fn acknowledgement_for_the_earlier_incarnation_forgets_no_ends(
+    #[case] wait: fn(&mut Simulation, OrderKind) -> u64,
+    #[case] before_ms: u64,
+    #[values(1, 2, 3, 5)] seed: u64,
+) {
+    let mut simulation = build_simulation(seed, 4, MAX_LEASE);
+    submit_timed_job(&mut simulation, numbered_job(1), 0, 16, 300);
     let arrival = wait(&mut simulation, names_saved_ends);
-    simulation.run_until(arrival - before_ms);
-    restart_at_once(&mut simulation, &first_minion());
-    submit_timed_job(&mut simulation, job_name(), before_ms + 10, 12, 600);
-    simulation.run_until(arrival + 1);
+    restart_before_arrival(&mut simulation, arrival, before_ms);
     assert!(simulation.minions[&first_minion()].saved_end > 0, "the hold has not arrived");
     run_for(&mut simulation, RECOVERY_MS);
     assert_eq!(simulation.checker.violations, Vec::new());
 }
 
+/// Begins the next incarnation of the first minion before an order arrives there, and submits a job whose
+/// tasks run in it.
+fn restart_before_arrival(simulation: &mut Simulation, arrival: u64, before_ms: u64) {
+    simulation.run_until(arrival - before_ms);
+    restart_at_once(simulation, &first_minion());
+    submit_timed_job(simulation, job_name(), before_ms + 10, 12, 600);
+    simulation.run_until(arrival + 1);
+}
+
 /// Guards against an answer that is taken for another incarnation's, since another answer has overtaken
 /// it: the minion's starts are paused then.
 #[rstest]
