A rig of real processes: soak starts daemons beside stand-ins and minions that restart

Three daemons run as child processes; store, list of machines and minions are stand-ins; a seeded script restarts minions under their ids, loses answers, cuts links, delays orders and ends daemons. The check is the rule TWICE, from the minions' runs alone.

--- /dev/null
+++ b/crates/soak/src/machine_list.rs
@@ -0,0 +1,17 @@
+//! Stand-in of the platform's list of machines, all of which are up.
+
+use std::sync::Arc;
+
+use serde_json::{Value, json};
+
+use crate::http_server::{Reply, ServedRequest};
+use crate::minion::Minion;
+
+/// Answers a call for the list; orders for machines are refused.
+pub(crate) fn handle_machine_call(minions: &[Arc<Minion>], request: &ServedRequest) -> Reply {
+    if &*request.path != "/api/machines" {
+        return Reply::empty(400);
+    }
+    let entries: Vec<Value> = minions.iter().map(|minion| minion.machine_entry()).collect();
+    Reply::json(200, &json!({ "Machines": entries, "NextToken": "" }))
+}
