--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -47,7 +47,7 @@
     #[case] owner_end: OwnerEnd,
 ) {
     let settings = build_settings(name, ScriptKind::RestartCut);
-    check_script(&SoakSettings { owner_end, ..settings });
+    check_script(&SoakSettings { owner_end, rounds: 2, ..settings });
 }
 
 #[rstest]
--- a/crates/soak/src/minion.rs
+++ b/crates/soak/src/minion.rs
@@ -64,7 +64,7 @@
     }
 }
 
-/// Stand-in of a minion.
+/// Stand-in of a minion, whose threads run until the process ends.
 pub(crate) struct Minion {
     /// Id of the minion, which all of its incarnations share.
     pub(crate) id: MinionId,
@@ -223,8 +223,8 @@
             return Reply::empty(421);
         }
         let Some(order) = request.decode_body::<MinionOrder>() else { return Reply::empty(400) };
-        let now = Instant::now();
         let mut incarnation = lock(&self.incarnation);
+        let now = Instant::now();
         let result = incarnation.carry_out(&request.path, &order, now);
         let (status, body) = incarnation.answer(result, now);
         if &*request.path == "/api/hold" && status == 200 {
--- a/crates/soak/src/random_faults.rs
+++ b/crates/soak/src/random_faults.rs
@@ -11,10 +11,12 @@
 
 use crate::deployment::{DAEMONS, Deployment};
 use crate::minion::{LinkState, Minion};
-use crate::scripts::{SoakSettings, build_job};
+use crate::scripts::{SoakSettings, build_job, set_links};
 
 /// Threads that inject faults of minions at the same time.
 const MINION_FAULT_THREADS: usize = 3;
+/// Minions that one fault concerns, at most.
+const MAX_GROUP: usize = 3;
 /// Threads that submit jobs at the same time.
 const SUBMITTER_THREADS: usize = 2;
 /// Time between two jobs of a thread, in milliseconds.
@@ -73,39 +75,48 @@
 
 fn harm_minions(deployment: &Deployment, rng: &mut StdRng, until: Instant, has_late_orders: bool) {
     while Instant::now() < until {
-        let minion = deployment.minions.choose(rng).expect("there are minions");
-        harm_minion(minion, rng, has_late_orders);
+        let count = rng.random_range(1..=MAX_GROUP);
+        let group: Vec<_> = deployment.minions.choose_multiple(rng, count).cloned().collect();
+        harm_group(&group, rng, has_late_orders);
         thread::sleep(draw_millis(rng, FAULT_INTERVAL_MS));
     }
 }
 
-fn harm_minion(minion: &Arc<Minion>, rng: &mut StdRng, has_late_orders: bool) {
+/// Injects one fault into all minions of a group.
+fn harm_group(group: &[Arc<Minion>], rng: &mut StdRng, has_late_orders: bool) {
     let kinds = if has_late_orders { 6 } else { 5 };
     match rng.random_range(0..kinds) {
-        0 => minion.restart(),
+        0 => restart_all(group),
         1 => {
-            minion.restart();
+            restart_all(group);
             thread::sleep(draw_millis(rng, SHORT_LOSS_MS));
-            hold_link(minion, LinkState::AnswersLost, draw_millis(rng, SHORT_LOSS_MS));
-            hold_link(minion, LinkState::Cut, draw_millis(rng, CUT_MS));
+            hold_links(group, LinkState::AnswersLost, draw_millis(rng, SHORT_LOSS_MS));
+            hold_links(group, LinkState::Cut, draw_millis(rng, CUT_MS));
         }
         2 => {
-            minion.set_link(LinkState::AnswersLost);
-            minion.restart();
-            hold_link(minion, LinkState::AnswersLost, draw_millis(rng, LOSS_MS));
-            hold_link(minion, LinkState::Cut, draw_millis(rng, CUT_MS));
+            set_links(group, LinkState::AnswersLost);
+            restart_all(group);
+            hold_links(group, LinkState::AnswersLost, draw_millis(rng, LOSS_MS));
+            hold_links(group, LinkState::Cut, draw_millis(rng, CUT_MS));
+        }
+        3 => hold_links(group, LinkState::AnswersLost, draw_millis(rng, LOSS_MS)),
+        4 => hold_links(group, LinkState::Cut, draw_millis(rng, CUT_MS)),
+        _ => {
+            let (share, duration) = (rng.random_range(LATE_SHARE), draw_millis(rng, LATE_MS));
+            group.iter().for_each(|minion| minion.delay_orders(share, duration));
         }
-        3 => hold_link(minion, LinkState::AnswersLost, draw_millis(rng, LOSS_MS)),
-        4 => hold_link(minion, LinkState::Cut, draw_millis(rng, CUT_MS)),
-        _ => minion.delay_orders(rng.random_range(LATE_SHARE), draw_millis(rng, LATE_MS)),
     }
 }
 
-/// Sets the state of the link for `duration`, and opens the link then.
-fn hold_link(minion: &Minion, state: LinkState, duration: Duration) {
-    minion.set_link(state);
+fn restart_all(group: &[Arc<Minion>]) {
+    group.iter().for_each(|minion| minion.restart());
+}
+
+/// Sets the state of the links for `duration`, and opens them then.
+fn hold_links(group: &[Arc<Minion>], state: LinkState, duration: Duration) {
+    set_links(group, state);
     thread::sleep(duration);
-    minion.set_link(LinkState::Open);
+    set_links(group, LinkState::Open);
 }
 
 /// Ends one or more daemons in series, and starts each again at once or later.
--- a/crates/soak/src/scripts.rs
+++ b/crates/soak/src/scripts.rs
@@ -157,7 +157,8 @@
     deployment.minions.choose_multiple(rng, RESTARTED_MINIONS).cloned().collect()
 }
 
-fn set_links(minions: &[Arc<Minion>], state: LinkState) {
+/// Sets the state of the links of several minions.
+pub(crate) fn set_links(minions: &[Arc<Minion>], state: LinkState) {
     minions.iter().for_each(|minion| minion.set_link(state));
 }
 
