New owner: leases of earlier owners are counted as the longest that a minion grants

Real processes: the second runs began 7.7 to 10.1 s after the first ones, which lapsed 10.0 s after their start.

Cause: an earlier owner's start carries an end by the clock of the incarnation that it knew. A new incarnation grants the longest lease (HoldMaxMs) for it, and the next owner waited for the 6 s that holds ask for.

Change: the next owner waits for the longest lease, and counts it from the first answer of each minion. Where HoldMaxMs is 6,000 nothing changes.

--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -14,7 +14,7 @@
 pub use policy::data_wait::RemoteFactor;
 
 use crate::event::ClientTarget;
-use crate::timing::{MAX_WATCH_WAIT, MIN_WATCH_WAIT, STORE_TIMEOUT};
+use crate::timing::{CLOCK_ERROR_PERMILLE, MAX_WATCH_WAIT, MIN_WATCH_WAIT, STORE_TIMEOUT};
 
 /// Settings of a daemon, given at its start: its identity and the platform's bounds.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,6 +42,13 @@
 }
 
 impl FleetSettings {
+    /// Returns the time after which the longest lease that a minion grants now has expired, also by a slow
+    /// clock.
+    pub(crate) fn max_lease_duration(&self) -> Millis {
+        let max_lease = self.max_run_lease.0;
+        Millis(max_lease + max_lease * CLOCK_ERROR_PERMILLE / 1_000)
+    }
+
     /// Returns the maximum time that a watch waits for a change.
     ///
     /// A watch whose connection has gone silent fails after this time and the timeout of a call
--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -12,7 +12,7 @@
 use super::minion::{RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
 use crate::io::{EndKind, EndedRow, MinionAnswer, OrderRefusal, RunningRow};
-use crate::timing::{CLOCK_ERROR_PERMILLE, HOLD_RETRY_DELAY, REFUSAL_PAUSE, RUN_LEASE_DURATION};
+use crate::timing::{CLOCK_ERROR_PERMILLE, HOLD_RETRY_DELAY, REFUSAL_PAUSE};
 
 impl PoolOwner {
     /// Handles the answer to a start that was sent to an incarnation of a minion at `sent_at`.
@@ -191,8 +191,8 @@
         minion.is_unresponsive = false;
         if !minion.is_fenced {
             minion.is_fenced = true;
-            // Leases of earlier owners end at most this long after the answer.
-            minion.extend_lease(clock_ms + RUN_LEASE_DURATION.0, now);
+            // An earlier owner may have sent its last order by the clock of an earlier incarnation.
+            minion.set_lease_end(now + context.settings.max_lease_duration());
             self.save.is_roster_dirty = true;
             if let Some(vm) = &minion.report.vm {
                 self.stage.confirm_earlier_minions(vm, minion.report.minion_incarnation);
--- a/crates/fleet/src/pool/incarnation.rs
+++ b/crates/fleet/src/pool/incarnation.rs
@@ -7,12 +7,12 @@
 //! stop, after which it refuses the run.
 
 use jobs::{RunNumber, TaskName};
-use state::{Millis, MinionId, Moment};
+use state::{MinionId, Moment};
 
 use super::minion::{MinionRun, OwnedMinion, RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
 use crate::io::MinionAnswer;
-use crate::timing::{CLOCK_ERROR_PERMILLE, STOP_RETRY_DELAY};
+use crate::timing::STOP_RETRY_DELAY;
 
 impl PoolOwner {
     /// Begins a new incarnation of a minion: releases the runs that the previous one has
@@ -39,9 +39,7 @@
         }
         // The new incarnation's clock began anew, so it limits the lease of such a start by the
         // maximum only.
-        let max_lease = context.settings.max_run_lease.0;
-        let clock_error = max_lease * CLOCK_ERROR_PERMILLE / 1_000;
-        minion.set_lease_end(context.clock.now + Millis(max_lease + clock_error));
+        minion.set_lease_end(context.clock.now + context.settings.max_lease_duration());
         let stops: Vec<RunKey> = uncertain_runs.iter().map(|(key, _)| key.clone()).collect();
         for (key, run) in uncertain_runs {
             minion.insert_run(key, run);
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -13,12 +13,10 @@
 use crate::event::CallId;
 use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
 use crate::key::{KeyScope, OwnKey, ShardKey, StoreKey};
+use crate::model::FleetSettings;
 use crate::records::{PoolRoster, ProgressRecord, RosterRow, decode};
 use crate::shared::SharedRecords;
-use crate::timing::{
-    CLOCK_ERROR_PERMILLE, LOAD_STALL_TIMEOUT, READ_RETRY_DELAY, ROSTER_RETENTION,
-    RUN_LEASE_DURATION,
-};
+use crate::timing::{EARLIER_ORDER_DELAY, LOAD_STALL_TIMEOUT, READ_RETRY_DELAY, ROSTER_RETENTION};
 
 /// Progress of loading, and loaded records that are not applied yet.
 #[derive(Debug, Default)]
@@ -311,7 +309,7 @@
         let awaited = self.stage.unconfirmed_minions.iter().filter(|(_, row)| row.may_have_runs);
         let awaited: Vec<&str> = awaited.map(|(minion, _)| minion.as_str()).collect();
         let waited = context.clock.now - self.owned_since;
-        let bound = self.earlier_lease_bound();
+        let bound = earlier_lease_bound(context.settings);
         let inputs =
             format!("{waited} after taking ownership, at most {bound}, no answer of {awaited:?}");
         context.out.log("earlier-runs", &self.pool, inputs, "known");
@@ -326,21 +324,14 @@
         context.out.log("record", format!("{key:?}"), reason, "skipped");
     }
 
-    /// Returns the time after which the leases that earlier owners have sent have certainly expired.
-    fn earlier_lease_bound(&self) -> Millis {
-        let clock_error = RUN_LEASE_DURATION.0 * CLOCK_ERROR_PERMILLE / 1_000;
-        Millis(RUN_LEASE_DURATION.0 + clock_error + 500)
-    }
-
     /// Allows the start of tasks that an earlier owner may have started, once every minion
     /// of the roster has reported its runs or all leases of earlier owners have expired, and every
     /// minion that answers has listed all its finished runs.
-    /// The longest lease is `RUN_LEASE_DURATION` plus the clock error of 30 per mille and a
-    /// margin of 500 ms. Minions that are still unconfirmed after `ROSTER_RETENTION` leave
+    /// Minions that are still unconfirmed after `ROSTER_RETENTION` leave
     /// the roster.
     pub(super) fn resolve_unknown_runs(&mut self, context: &mut StepContext) {
         let now = context.clock.now;
-        let have_leases_expired = now >= self.owned_since + self.earlier_lease_bound();
+        let have_leases_expired = now >= self.owned_since + earlier_lease_bound(context.settings);
         let has_unseen_ends =
             || self.minions.values().any(|minion| minion.may_have_unseen_ends(now));
         if !self.stage.has_resolved_unknown_runs
@@ -362,3 +353,9 @@
         }
     }
 }
+
+/// Returns the time after which the leases that earlier owners have sent have certainly expired. An order of
+/// theirs may have reached an incarnation that they did not know, which grants the longest lease.
+fn earlier_lease_bound(settings: &FleetSettings) -> Millis {
+    Millis(settings.max_lease_duration().0 + EARLIER_ORDER_DELAY.0)
+}
