Starts and holds: what may run in an unknown incarnation ends with the longest lease after the last order

Cause: only the answer to a hold names the incarnation that gave it, and the clock begins anew with each. An order that is carried out by an incarnation that the owner does not know extends the leases of all its runs by the longest lease from its arrival on, also when a start is refused. The owner counted the run's own start, once, and recognised another incarnation by an answer whose clock seemed behind: answers that overtake each other seemed so too.

Change: a run counts as one of the known incarnation only if a hold has listed it, or if the clock in the answer to its start can't be that of a younger incarnation. Every other run is kept for the longest lease after the last order that named an end. No alarm is raised any more, and a start's answer doesn't set the clock.

--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -6,26 +6,27 @@
 use std::collections::BTreeSet;
 
 use jobs::{JobPhase, RunNumber, TaskName};
-use state::{JobId, Millis, MinionId, Moment, Revision};
+use state::{JobId, MinionId, Moment, Revision};
 
 use super::job::{OwnedJob, position_of, task_name};
 use super::minion::{RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
 use crate::io::{EndKind, EndedRow, MinionAnswer, OrderRefusal, RunningRow};
-use crate::timing::{CLOCK_ERROR_PERMILLE, HOLD_RETRY_DELAY, REFUSAL_PAUSE};
+use crate::timing::{HOLD_RETRY_DELAY, REFUSAL_PAUSE};
 
 impl PoolOwner {
-    /// Handles the answer to a start that was sent to an incarnation of a minion at `sent_at`.
+    /// Handles the answer to a start that was sent to an incarnation of a minion.
     pub(super) fn on_start_answered(
         &mut self,
         context: &mut StepContext,
-        (id, incarnation, sent_at): (&MinionId, u64, Moment),
+        (id, incarnation): (&MinionId, u64),
         task: &TaskName,
         run: RunNumber,
         answer: MinionAnswer,
     ) {
         let now = context.clock.now;
         let Some(minion) = self.minions.get_mut(id) else { return };
+        let key = (task.clone(), run);
         if minion.report.minion_incarnation != incarnation {
             let inputs = format!("run {run} on {id}, sent to incarnation {incarnation}");
             context.out.log("start-answered", task, inputs, format!("{answer:?}"));
@@ -33,22 +34,12 @@
         }
         match answer {
             MinionAnswer::Ok { clock_ms } => {
-                if minion.is_behind(clock_ms, sent_at) {
-                    let inputs = format!("run {run} on {id}, its clock is behind");
-                    context.out.log("start-answered", task, inputs, "by another incarnation");
-                    // Its next hold extends no lease by the clock of the known incarnation.
-                    minion.is_unresponsive = true;
-                    minion.next_hold_at = now;
-                    self.hold_queue.add(id);
-                    self.distrust_start(context, id, task, run);
-                } else {
-                    minion.set_clock(clock_ms, now);
-                }
-                let Some(minion) = self.minions.get_mut(id) else { return };
-                if let Some(known) = minion.runs.get_mut(&(task.clone(), run))
+                let is_of_known_incarnation = minion.is_of_known_incarnation(clock_ms, now);
+                if let Some(known) = minion.runs.get_mut(&key)
                     && matches!(known.phase, RunPhase::Starting { .. })
                 {
                     known.phase = RunPhase::Running;
+                    known.is_of_known_incarnation |= is_of_known_incarnation;
                     known.confirmed_at = now;
                     known.last_running_at = now;
                 }
@@ -81,31 +72,11 @@
             // reservation.
             MinionAnswer::Unknown | MinionAnswer::Held { .. } => {
                 context.out.log("start-unanswered", task, format!("run {run} on {id}"), "waits");
-                self.distrust_start(context, id, task, run);
+                minion.starts_paused_until = now + REFUSAL_PAUSE;
             }
         }
     }
 
-    /// Notes that a start may have reached an incarnation that this owner does not know. Its clock began
-    /// anew, so it is far behind the end of the start's validity, and the run gets the longest lease
-    /// that minions grant.
-    fn distrust_start(
-        &mut self,
-        context: &StepContext,
-        id: &MinionId,
-        task: &TaskName,
-        run: RunNumber,
-    ) {
-        let now = context.clock.now;
-        let max_lease = context.settings.max_run_lease.0;
-        let Some(minion) = self.minions.get_mut(id) else { return };
-        minion.starts_paused_until = now + REFUSAL_PAUSE;
-        if let Some(known) = minion.runs.get_mut(&(task.clone(), run)) {
-            let clock_error = max_lease * CLOCK_ERROR_PERMILLE / 1_000;
-            known.may_run_until = now + Millis(max_lease + clock_error);
-        }
-    }
-
     /// Marks a queued job as active, since a minion has told that one of its tasks has started. A
     /// start that was only sent may never arrive.
     pub(super) fn note_started(&mut self, now: Moment, job: &JobId) {
@@ -186,13 +157,14 @@
         let Some(minion) = self.minions.get_mut(id) else { return };
         minion.set_clock(clock_ms, now);
         minion.bound_clock(sent_at);
-        minion.confirmed_at = sent_at;
+        minion.confirm_incarnation(sent_at, now);
         minion.next_hold_at = now;
         minion.is_unresponsive = false;
         if !minion.is_fenced {
             minion.is_fenced = true;
             // An earlier owner may have sent its last order by the clock of an earlier incarnation.
-            minion.set_lease_end(now + context.settings.max_lease_duration());
+            let max_lease = context.settings.max_lease_duration();
+            minion.lease_ends.record_earlier_order(now, max_lease);
             self.save.is_roster_dirty = true;
             if let Some(vm) = &minion.report.vm {
                 self.stage.confirm_earlier_minions(vm, minion.report.minion_incarnation);
--- a/crates/fleet/src/pool/incarnation.rs
+++ b/crates/fleet/src/pool/incarnation.rs
@@ -2,8 +2,9 @@
 //!
 //! No run of the previous incarnation can still execute. But a start that was sent before the
 //! owner knew of the new incarnation names the same minion, and the new incarnation carries it
-//! out. A run that no hold has listed may therefore execute now, or later if the order is
-//! still on its way. Its task starts elsewhere only after the new incarnation has answered a
+//! out. A run that can't be attributed to the previous one, by a list or by the clock in the answer
+//! to its start, may therefore execute now, or later if the order is still on its way. Its task starts
+//! elsewhere only after the new incarnation has answered a
 //! stop, after which it refuses the run.
 
 use jobs::{RunNumber, TaskName};
@@ -11,7 +12,7 @@
 
 use super::minion::{MinionRun, OwnedMinion, RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
-use crate::io::MinionAnswer;
+use crate::io::{MinionAnswer, OrderRefusal};
 use crate::timing::STOP_RETRY_DELAY;
 
 impl PoolOwner {
@@ -30,16 +31,12 @@
         report.minion_incarnation = incarnation;
         let Some(minion) = self.minions.get_mut(id) else { return };
         let (is_listed, is_hold_in_flight) = (minion.is_listed, minion.is_hold_in_flight);
+        let lease_ends = minion.lease_ends.of_next_incarnation();
         *minion = OwnedMinion::new(report, 0);
         minion.is_listed = is_listed;
         minion.is_hold_in_flight = is_hold_in_flight;
+        minion.lease_ends = lease_ends;
         context.out.log("minion", id, format!("incarnation {incarnation}"), "new incarnation");
-        if uncertain_runs.is_empty() {
-            return;
-        }
-        // The new incarnation's clock began anew, so it limits the lease of such a start by the
-        // maximum only.
-        minion.set_lease_end(context.clock.now + context.settings.max_lease_duration());
         let stops: Vec<RunKey> = uncertain_runs.iter().map(|(key, _)| key.clone()).collect();
         for (key, run) in uncertain_runs {
             minion.insert_run(key, run);
@@ -51,12 +48,12 @@
         }
     }
 
-    /// Removes the runs from a minion that no hold has listed, as uncertain runs.
+    /// Removes the runs from a minion that may not be of its known incarnation, as uncertain runs.
     fn take_uncertain_runs(&mut self, now: Moment, id: &MinionId) -> Vec<(RunKey, MinionRun)> {
         let Some(minion) = self.minions.get_mut(id) else { return Vec::new() };
-        let is_unlisted = |(_, run): &(&RunKey, &MinionRun)| !run.is_listed;
+        let is_unattributed = |(_, run): &(&RunKey, &MinionRun)| !run.is_of_known_incarnation;
         let keys: Vec<RunKey> =
-            minion.runs.iter().filter(is_unlisted).map(|(key, _)| key.clone()).collect();
+            minion.runs.iter().filter(is_unattributed).map(|(key, _)| key.clone()).collect();
         let take = |key: RunKey| {
             let mut run = minion.remove_run(&key)?;
             run.phase = RunPhase::Uncertain { retry_at: now + STOP_RETRY_DELAY };
@@ -65,6 +62,57 @@
         keys.into_iter().filter_map(take).collect()
     }
 
+    /// Notes that a start which is answered may have extended the leases on its minion.
+    pub(super) fn note_start_answered(
+        &mut self,
+        context: &StepContext,
+        id: &MinionId,
+        incarnation: u64,
+        answer: &MinionAnswer,
+    ) {
+        let may_have_extended = match answer {
+            MinionAnswer::Refused(reason) => {
+                matches!(reason, OrderRefusal::Old | OrderRefusal::Room)
+            }
+            MinionAnswer::WrongLife => false,
+            MinionAnswer::Ok { .. } | MinionAnswer::Held { .. } | MinionAnswer::Unknown => true,
+        };
+        if may_have_extended {
+            self.note_lease_order(context, id, incarnation);
+        }
+    }
+
+    /// Notes that a hold which is answered may have extended the leases on its minion. The answer names
+    /// the incarnation that has carried it out.
+    pub(super) fn note_hold_answered(
+        &mut self,
+        context: &StepContext,
+        id: &MinionId,
+        incarnation: u64,
+        answer: &MinionAnswer,
+    ) {
+        match answer {
+            MinionAnswer::Held { minion_incarnation, .. } if *minion_incarnation == incarnation => {
+            }
+            MinionAnswer::Held { .. } | MinionAnswer::Unknown => {
+                self.note_lease_order(context, id, incarnation);
+            }
+            _ => {}
+        }
+    }
+
+    /// Notes that an order which names an end by the clock of `incarnation` may have arrived by now.
+    fn note_lease_order(&mut self, context: &StepContext, id: &MinionId, incarnation: u64) {
+        let now = context.clock.now;
+        let max_lease = context.settings.max_lease_duration();
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        if minion.report.minion_incarnation == incarnation {
+            minion.lease_ends.record_order(now, max_lease);
+        } else {
+            minion.lease_ends.record_earlier_order(now, max_lease);
+        }
+    }
+
     /// Handles the answer to a stop. The minion refuses the run from now on, so a run that the
     /// next hold does not list no longer executes.
     pub(super) fn on_stop_answered(
--- a/crates/fleet/src/pool/listed.rs
+++ b/crates/fleet/src/pool/listed.rs
@@ -30,7 +30,7 @@
                 known.confirmed_at = now;
             }
             known.last_running_at = now;
-            known.is_listed = true;
+            known.is_of_known_incarnation = true;
             known.percent = row.percent;
             known.reported_metric = row.reported_metric;
             if let Some(checkpoint) = row.checkpoint {
@@ -79,8 +79,7 @@
             team,
             reservation,
             is_long_running,
-            is_listed: true,
-            may_run_until: Moment(0),
+            is_of_known_incarnation: true,
             percent: row.percent,
             reported_metric: row.reported_metric,
             processor_share: 100,
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -11,6 +11,7 @@
 use policy::FULL_WEIGHT;
 use state::{Millis, Moment, TeamId};
 
+use super::lease_ends::LeaseEnds;
 use super::pass::UnusableReason;
 use super::unsaved::UnsavedEnds;
 use crate::model::MinionReport;
@@ -32,13 +33,6 @@
     Uncertain { retry_at: Moment },
 }
 
-impl MinionRun {
-    /// Whether the run can no longer execute once the leases on its minion have expired.
-    pub(super) fn ends_with_leases(&self, now: Moment) -> bool {
-        self.is_listed || now >= self.may_run_until
-    }
-}
-
 impl RunPhase {
     /// Returns the time at which a stop of the run is sent again.
     pub(super) fn stop_retry_at(self) -> Option<Moment> {
@@ -62,12 +56,9 @@
     pub(super) reservation: Resources,
     /// Whether the run belongs to a long-running job, or to an unknown one.
     pub(super) is_long_running: bool,
-    /// Whether a hold of the minion's current incarnation has listed the run.
-    pub(super) is_listed: bool,
-    /// Time until which the run may execute although the minion's leases have expired, because its
-    /// start may have reached an incarnation that this owner does not know. Counts until the run is
-    /// listed.
-    pub(super) may_run_until: Moment,
+    /// Whether the run certainly belongs to the minion's known incarnation: a hold has listed it, or the
+    /// answer to its start can't be that of a later incarnation.
+    pub(super) is_of_known_incarnation: bool,
     /// Progress that the task reported last; a long-running task serves at 100.
     pub(super) percent: u8,
     /// Metric that the task reported last: tail latency in milliseconds for a serving task,
@@ -96,6 +87,8 @@
     pub(super) is_fenced: bool,
     /// Whether the roster in the store has the minion's current incarnation.
     pub(super) is_in_roster: bool,
+    /// Time at which a hold was answered by the current incarnation for the first time.
+    first_confirmed_at: Option<Moment>,
     /// Time at which the hold was sent whose answer named the current incarnation last.
     pub(super) confirmed_at: Moment,
     /// Newest reading of the minion's clock, in milliseconds, and the time of its arrival.
@@ -103,9 +96,8 @@
     /// Estimate of the minion's clock, in milliseconds, and the time of the estimate. The reading
     /// of an answer that waited for this daemon's processor is too low.
     clock_estimate: Option<(u64, Moment)>,
-    /// Time by which every lease ever sent has expired, allowing for the error of the
-    /// clock.
-    lease_end: Moment,
+    /// Times by which the leases have expired, allowing for the error of the clock.
+    pub(super) lease_ends: LeaseEnds,
     pub(super) runs: BTreeMap<RunKey, MinionRun>,
     /// Sum of the reservations of all runs.
     pub(super) used: Resources,
@@ -154,10 +146,11 @@
             is_listed: true,
             is_fenced: false,
             is_in_roster: false,
+            first_confirmed_at: None,
             confirmed_at: Moment(0),
             clock: None,
             clock_estimate: None,
-            lease_end: Moment(0),
+            lease_ends: LeaseEnds::default(),
             runs: BTreeMap::new(),
             used: Resources::default(),
             long_running_runs: 0,
@@ -211,6 +204,28 @@
         usable.saturating_sub(&self.used)
     }
 
+    /// Records that the answer to a hold, which was sent at `sent_at`, names the current incarnation.
+    pub(super) fn confirm_incarnation(&mut self, sent_at: Moment, now: Moment) {
+        self.first_confirmed_at.get_or_insert(now);
+        self.confirmed_at = sent_at;
+    }
+
+    /// Whether a reading of the clock that arrived at `now` is certainly not that of a later incarnation.
+    ///
+    /// A minion's clock begins anew with each incarnation. One that has begun since the current incarnation
+    /// was confirmed is younger, so its clock is behind by at least the difference of their ages.
+    pub(super) fn is_of_known_incarnation(&self, clock_ms: u64, now: Moment) -> bool {
+        let (Some((known_ms, _)), Some(first_confirmed_at)) = (self.clock, self.first_confirmed_at)
+        else {
+            return false;
+        };
+        let min_age_ms = (self.confirmed_at - first_confirmed_at).0;
+        let min_age_ms = min_age_ms - min_age_ms * CLOCK_ERROR_PERMILLE / 1_000;
+        let max_elapsed_ms = (now - self.confirmed_at).0;
+        let is_expected = (known_ms..=known_ms + max_elapsed_ms).contains(&clock_ms);
+        is_expected && clock_ms + min_age_ms > known_ms + max_elapsed_ms
+    }
+
     /// Records a reading of the minion's clock that was processed at `now`.
     pub(super) fn set_clock(&mut self, clock_ms: u64, now: Moment) {
         let expected_ms = self.clock_at(now).unwrap_or(clock_ms);
@@ -244,40 +259,26 @@
         let Some((clock_ms, at)) = self.clock else { return };
         let duration = until_clock.saturating_sub(clock_ms);
         let clock_error = duration * CLOCK_ERROR_PERMILLE / 1_000;
-        self.lease_end = self.lease_end.max(at + Millis(duration + clock_error)).max(now);
-    }
-
-    /// Whether a reading of the clock by a call that was sent at `sent_at` is behind what this
-    /// incarnation's clock must show, so that another incarnation has answered.
-    pub(super) fn is_behind(&self, clock_ms: u64, sent_at: Moment) -> bool {
-        self.clock.is_some_and(|(known_ms, at)| {
-            let elapsed_ms = (sent_at - at).0;
-            clock_ms < known_ms + elapsed_ms - elapsed_ms * CLOCK_ERROR_PERMILLE / 1_000
-        })
-    }
-
-    /// Records that a run may execute until `lease_end`.
-    pub(super) fn set_lease_end(&mut self, lease_end: Moment) {
-        self.lease_end = self.lease_end.max(lease_end);
+        self.lease_ends.record_lease((at + Millis(duration + clock_error)).max(now));
     }
 
     /// Describes a run and what its release depends on, for the log.
     pub(super) fn describe_run(&self, run: &MinionRun, now: Moment) -> String {
-        let listing = if run.is_listed { "listed" } else { "never listed" };
+        let origin = if run.is_of_known_incarnation { "known" } else { "unknown" };
         format!(
-            "{listing}, {:?}, started or answered {} ago, incarnation {} confirmed {} ago, leases \
+            "of {origin} incarnation, {:?}, started or answered {} ago, incarnation {} confirmed {} ago, leases \
              ended {} ago by its clock",
             run.phase,
             now - run.confirmed_at,
             self.report.minion_incarnation,
             now - self.confirmed_at,
-            now - self.lease_end,
+            now - self.lease_ends.listed_end(),
         )
     }
 
-    /// Whether every lease sent has expired, so that no run can still execute.
+    /// Whether every lease of the known incarnation has expired.
     pub(super) fn are_leases_expired(&self, now: Moment) -> bool {
-        now >= self.lease_end
+        now >= self.lease_ends.listed_end()
     }
 
     /// Whether the minion may have finished runs that this owner has not seen and that still count:
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -25,6 +25,7 @@
 mod incarnation;
 mod job;
 mod job_table;
+mod lease_ends;
 mod limits;
 mod listed;
 mod load;
@@ -97,7 +98,13 @@
     /// Commit of the quota allocations.
     Allocations,
     /// Lease renewal that also acknowledges finished runs up to number `last_saved_end`.
-    Hold { minion: MinionId, incarnation: u64, last_saved_end: u64 },
+    Hold {
+        minion: MinionId,
+        incarnation: u64,
+        last_saved_end: u64,
+        /// Whether the hold names an end of leases.
+        extends_leases: bool,
+    },
     /// Start of a run.
     Start { minion: MinionId, incarnation: u64, task: TaskName, run: RunNumber },
     /// Stop of a run.
@@ -279,7 +286,7 @@
     ) {
         self.note_contact(context.clock.now, &call, &answer);
         match call {
-            PoolCall::Hold { minion, incarnation, last_saved_end } => {
+            PoolCall::Hold { minion, incarnation, last_saved_end, extends_leases } => {
                 if matches!(
                     answer,
                     MinionAnswer::Held { minion_incarnation: reported, .. }
@@ -287,11 +294,14 @@
                 ) {
                     self.record_acknowledged_end(&minion, last_saved_end);
                 }
+                if extends_leases {
+                    self.note_hold_answered(context, &minion, incarnation, &answer);
+                }
                 self.on_hold_answered(context, &minion, incarnation, sent_at, answer);
             }
             PoolCall::Start { minion, incarnation, task, run } => {
-                let origin = (&minion, incarnation, sent_at);
-                self.on_start_answered(context, origin, &task, run, answer);
+                self.note_start_answered(context, &minion, incarnation, &answer);
+                self.on_start_answered(context, (&minion, incarnation), &task, run, answer);
             }
             PoolCall::Throttle { minion, task, run, percent } => {
                 self.on_throttle_answered(&minion, &task, run, percent, &answer);
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -128,13 +128,16 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
+            let lease_ends = self.minions[&id].lease_ends;
+            let has_expired =
+                |run: &MinionRun| now >= lease_ends.end_of(run.is_of_known_incarnation);
             self.release_runs(context, &id, |_, run| {
-                let cause = if run.is_listed {
+                let cause = if run.is_of_known_incarnation {
                     ReleaseCause::LeaseExpired
                 } else {
                     ReleaseCause::UnlistedLeaseExpired
                 };
-                run.ends_with_leases(now).then_some(cause)
+                has_expired(run).then_some(cause)
             });
             self.discount_minion_failures(context, &id);
             let is_gone = |minion: &OwnedMinion| !minion.is_listed && minion.runs.is_empty();
@@ -188,6 +191,7 @@
         let until_clock = clock.map(|clock| clock + lease.0);
         if let Some(until) = until_clock {
             minion.extend_lease(until, now);
+            minion.lease_ends.record_order(now, context.settings.max_lease_duration());
         }
         // The hold must not wait on the minion in two cases: an uncertain failure must soon
         // be confirmed or discounted, and the VM of a minion that is being drained goes
@@ -206,6 +210,7 @@
             minion: id.clone(),
             incarnation: minion.report.minion_incarnation,
             last_saved_end,
+            extends_leases: until_clock.is_some(),
         };
         let target = minion_target(minion);
         self.mark_acknowledgement_sent(id, last_saved_end);
--- a/crates/fleet/src/pool/placement.rs
+++ b/crates/fleet/src/pool/placement.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 
 use jobs::{Resources, RunNumber, StepSpec};
-use state::{JobId, Millis, MinionId, Moment, TeamId};
+use state::{JobId, Millis, MinionId, TeamId};
 
 use super::job::{LiveRun, TaskPosition, task_name};
 use super::minion::{MinionRun, OwnedMinion, RunPhase};
@@ -316,6 +316,7 @@
         let Some(clock) = minion.clock_at(now) else { return };
         let until_clock = clock + START_VALIDITY.0;
         minion.extend_lease(until_clock, now);
+        minion.lease_ends.record_order(now, context.settings.max_lease_duration());
         let inputs = format!(
             "run {run}, needs {} {}, free {}, waited {}ms, ready for {}ms ({}), minion confirmed {} ago, {}",
             reservation.processor,
@@ -338,8 +339,7 @@
                 team: group.team.cloned(),
                 reservation,
                 is_long_running: job.spec.is_long_running(),
-                is_listed: false,
-                may_run_until: Moment(0),
+                is_of_known_incarnation: false,
                 percent: 0,
                 reported_metric: None,
                 processor_share: 100,
