New incarnation: a run that it lists goes on there

Cause: when a minion began a new incarnation, each run that no hold had listed was stopped there, also one that executed soundly by an answered start.

Change: the run of an answered start waits for the list of the new incarnation, which shows that it executes there, or that it died with the earlier one.

--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -28,9 +28,7 @@
         let Some(minion) = self.minions.get_mut(id) else { return };
         let key = (task.clone(), run);
         if minion.report.minion_incarnation != incarnation {
-            let inputs = format!("run {run} on {id}, sent to incarnation {incarnation}");
-            context.out.log("start-answered", task, inputs, format!("{answer:?}"));
-            return;
+            return self.on_earlier_start_answered(context, id, &key, &answer);
         }
         match answer {
             MinionAnswer::Ok { clock_ms } => {
--- a/crates/fleet/src/pool/listed.rs
+++ b/crates/fleet/src/pool/listed.rs
@@ -25,7 +25,7 @@
         let now = context.clock.now;
         let Some(minion) = self.minions.get_mut(id) else { return };
         if let Some(known) = minion.runs.get_mut(&(row.task.clone(), row.run)) {
-            if matches!(known.phase, RunPhase::Starting { .. }) {
+            if known.phase.may_still_start() && !known.phase.is_stop_sent() {
                 known.phase = RunPhase::Running;
                 known.confirmed_at = now;
             }
--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -28,16 +28,31 @@
     /// A stop was sent and is sent again at `retry_at`.
     Stopping { retry_at: Moment },
     /// The start was sent before the owner knew of the minion's current incarnation, which
-    /// may have carried it out or may still do so. A stop was sent and is sent again at
-    /// `retry_at`; once it is answered, the run can no longer start.
-    Uncertain { retry_at: Moment },
+    /// may have carried it out or may still do so. Unless the run is listed or the start is answered before,
+    /// a stop is sent at `stop_at`, and again until it is answered; then the run can no longer start.
+    Uncertain { stop_at: Moment, is_stop_sent: bool },
 }
 
 impl RunPhase {
+    /// Whether a stop of the run was sent.
+    pub(super) fn is_stop_sent(self) -> bool {
+        match self {
+            Self::Stopping { .. } => true,
+            Self::Uncertain { is_stop_sent, .. } => is_stop_sent,
+            Self::Starting { .. } | Self::Running => false,
+        }
+    }
+
+    /// Whether the start may still arrive, so that the run may begin to execute.
+    pub(super) fn may_still_start(self) -> bool {
+        matches!(self, Self::Starting { .. } | Self::Uncertain { .. })
+    }
+
     /// Returns the time at which a stop of the run is sent again.
     pub(super) fn stop_retry_at(self) -> Option<Moment> {
         match self {
-            Self::Stopping { retry_at } | Self::Uncertain { retry_at } => Some(retry_at),
+            Self::Stopping { retry_at } => Some(retry_at),
+            Self::Uncertain { stop_at, .. } => Some(stop_at),
             Self::Starting { .. } | Self::Running => None,
         }
     }
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -233,7 +233,9 @@
         minion.may_have_stops = true;
         let retry_at = now + STOP_RETRY_DELAY;
         run.phase = match run.phase {
-            RunPhase::Uncertain { .. } => RunPhase::Uncertain { retry_at },
+            RunPhase::Uncertain { .. } => {
+                RunPhase::Uncertain { stop_at: retry_at, is_stop_sent: true }
+            }
             _ => RunPhase::Stopping { retry_at },
         };
         if !context.is_ownership_valid {
