Given-up starts are barred in the next incarnation

Cause: the known incarnation refuses such a start once its validity is over, so the owner forgot it. The clock of the next incarnation begins anew, and it accepts the start.

Change: the owner remembers a start that it releases without an answer for 20 s, and bars it by a stop as soon as its minion has a new incarnation.

--- a/crates/fleet/src/pool/incarnation.rs
+++ b/crates/fleet/src/pool/incarnation.rs
@@ -45,9 +45,25 @@
             minion.may_have_stops = true;
             minion.insert_run(key, run);
         }
+        self.bar_given_up_starts(context, id);
         self.resend_stops(context);
     }
 
+    /// Bars the starts that were given up and that the current incarnation of a minion may still receive.
+    pub(super) fn bar_given_up_starts(&mut self, context: &mut StepContext, id: &MinionId) {
+        let now = context.clock.now;
+        let starts = self.given_up_starts.take(id);
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        for (key, mut run) in starts {
+            let inputs = format!("run {} on {id}, given up before", key.1);
+            context.out.log("run", &key.0, inputs, "may start in the new incarnation; stopped");
+            self.limits.record_use(run.team.as_ref(), &run.reservation);
+            run.phase = RunPhase::Uncertain { stop_at: now, is_stop_sent: false };
+            minion.may_have_stops = true;
+            minion.insert_run(key, run);
+        }
+    }
+
     /// Removes the runs from a minion that may not be of its known incarnation. Those whose start is not
     /// answered, or that were to be stopped, become uncertain.
     fn take_unattributed_runs(&mut self, now: Moment, id: &MinionId) -> Vec<(RunKey, MinionRun)> {
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -21,6 +21,7 @@
 mod expiry;
 mod failures;
 mod finished;
+mod given_up;
 mod hold_queue;
 mod incarnation;
 mod job;
@@ -65,6 +66,7 @@
 use data_wait::DataWaits;
 use demand::DemandState;
 use expiry::ExpiryQueue;
+use given_up::GivenUpStarts;
 use hold_queue::HoldQueue;
 use job_table::JobTable;
 use limits::LocalAllocation;
@@ -163,6 +165,7 @@
     overload: OverloadState,
     pass: PassSchedule,
     minions: BTreeMap<MinionId, OwnedMinion>,
+    given_up_starts: GivenUpStarts,
     hold_queue: HoldQueue,
     /// Version of the configuration after which a placement pass was last requested.
     config_version: u64,
@@ -205,6 +208,7 @@
             overload: OverloadState::default(),
             pass: PassSchedule::default(),
             minions: BTreeMap::new(),
+            given_up_starts: GivenUpStarts::default(),
             hold_queue: HoldQueue::default(),
             config_version: 0,
             save: SaveState::default(),
@@ -348,6 +352,7 @@
         self.retry_load(context);
         self.open_due_occurrences(context);
         self.expire_leases(context);
+        self.given_up_starts.expire(context.clock.now);
         self.resend_stops(context);
         self.update_maintenance(context);
         self.update_demand(context);
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -75,6 +75,7 @@
                     context.out.log("minion", &report.minion, inputs, "found");
                     let minion = OwnedMinion::new(report.clone(), last_saved_end);
                     self.minions.insert(report.minion.clone(), minion);
+                    self.bar_given_up_starts(context, &report.minion);
                 }
             }
         }
@@ -106,10 +107,19 @@
         for ((task, run), cause, inputs) in released {
             context.out.log("run", &task, inputs, cause.to_string());
             context.out.measure(Measurement::RunReleased(cause));
+            self.remember_unanswered_start(id, &(task.clone(), run), now);
             self.release_run(id, &task, run);
         }
     }
 
+    /// Remembers the start of a run that is released although the start may still arrive.
+    fn remember_unanswered_start(&mut self, id: &MinionId, key: &RunKey, now: Moment) {
+        let run = self.minions.get(id).and_then(|minion| minion.runs.get(key));
+        if let Some(run) = run.filter(|run| run.phase.may_still_start()) {
+            self.given_up_starts.add(id, key.clone(), run.clone(), now);
+        }
+    }
+
     /// Releases the runs of minions whose leases have expired, and removes such minions if
     /// the registry no longer lists them. Unlisted minions that have not answered this owner
     /// are removed at once.
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -60,6 +60,8 @@
 pub(crate) const HOLD_RETRY_DELAY: Millis = Millis(250);
 /// Delay before a stop is sent again if the minion has not listed the run as finished.
 pub(crate) const STOP_RETRY_DELAY: Millis = Millis(400);
+/// Retention of a start that was released without an answer, since it may still arrive.
+pub(crate) const LATE_ORDER_RETENTION: Millis = Millis(20_000);
 /// Time by which an order may arrive later than the next owner takes over.
 pub(crate) const EARLIER_ORDER_DELAY: Millis = Millis(500);
 /// Time for an order of a pool's previous owner to reach its minion, and for the end that it causes
