Holds: a minion is told a saved end once

Cause: each hold named the highest saved end. A hold that is carried out by the next incarnation, which numbers its ends from 1 again, makes it forget its own first ends. The owner sees neither the run nor its end, and starts the task again.

Evidence: before, hold_after_an_acknowledgement_forgets_no_ends failed in 11 of 12 cases.

Change: a hold names the saved end only if the minion was not told it yet, that is right after an answer that lists the end. An answer that lists an end which was told before has it told again.

Result: the 12 cases pass.

--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -173,6 +173,11 @@
             let incarnation = minion.report.minion_incarnation;
             self.confirm_failures(id, incarnation, lowest_listed_end.saturating_sub(1));
         }
+        let Some(minion) = self.minions.get_mut(id) else { return };
+        if let Some(lowest_listed_end) = ended.iter().map(|row| row.number).min() {
+            let dropped_end = lowest_listed_end.saturating_sub(1);
+            minion.acknowledged_end = minion.acknowledged_end.min(dropped_end);
+        }
         // Failures that precede a lapsed lease and were not acknowledged never count.
         let is_lapsed = |row: &&EndedRow| row.kind == EndKind::Lapsed;
         let last_lapse_end =
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -211,10 +211,11 @@
         let may_wait =
             minion.is_fenced && minion.processed_end == minion.saved_end && is_acknowledged;
         let wait = if may_wait { MAX_HOLD_WAIT } else { Millis(0) };
-        // A minion that is unfenced or unresponsive may have begun a new incarnation, which
-        // numbers its finished runs from 1 again.
+        // A new incarnation numbers its finished runs from 1 again and would drop them by this number. The
+        // number is therefore sent only once, and not to a minion that is unfenced or unresponsive.
         let is_known_incarnation = minion.is_fenced && !minion.is_unresponsive;
-        let last_saved_end = if is_known_incarnation { minion.saved_end } else { 0 };
+        let is_new_end = minion.saved_end > minion.acknowledged_end;
+        let last_saved_end = if is_known_incarnation && is_new_end { minion.saved_end } else { 0 };
         let order = MinionCall::Hold { until_clock, saved_end: last_saved_end, wait };
         let call = PoolCall::Hold {
             minion: id.clone(),
