--- a/crates/fleet/src/pool/listed.rs
+++ b/crates/fleet/src/pool/listed.rs
@@ -11,6 +11,7 @@
 use super::job::{LiveRun, position_of};
 use super::minion::{MinionRun, RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
+use crate::event::ReleaseCause;
 use crate::io::RunningRow;
 
 impl PoolOwner {
@@ -24,12 +25,12 @@
         let now = context.clock.now;
         let Some(minion) = self.minions.get_mut(id) else { return };
         if let Some(known) = minion.runs.get_mut(&(row.task.clone(), row.run)) {
-            if matches!(known.phase, RunPhase::Starting { .. }) {
+            if known.phase.may_still_start() && !known.phase.is_stop_sent() {
                 known.phase = RunPhase::Running;
                 known.confirmed_at = now;
             }
             known.last_running_at = now;
-            known.is_listed = true;
+            known.is_of_known_incarnation = true;
             known.percent = row.percent;
             known.reported_metric = row.reported_metric;
             if let Some(checkpoint) = row.checkpoint {
@@ -78,8 +79,7 @@
             team,
             reservation,
             is_long_running,
-            is_listed: true,
-            may_run_until: Moment(0),
+            is_of_known_incarnation: true,
             percent: row.percent,
             reported_metric: row.reported_metric,
             processor_share: 100,
@@ -105,30 +105,16 @@
         clock_ms: u64,
         listed: &BTreeSet<RunKey>,
     ) {
-        let Some(minion) = self.minions.get(id) else { return };
         let is_missing = |key: &RunKey, run: &MinionRun| {
-            let is_listed = listed.contains(key);
             let should_be_listed = match run.phase {
                 RunPhase::Starting { until_clock } => clock_ms > until_clock,
                 RunPhase::Uncertain { .. } => false,
                 _ => run.confirmed_at < sent_at,
             };
-            should_be_listed && !is_listed
+            should_be_listed && !listed.contains(key)
         };
-        let missing: Vec<RunKey> = minion
-            .runs
-            .iter()
-            .filter(|(key, run)| is_missing(key, run))
-            .map(|(key, _)| key.clone())
-            .collect();
-        for (task, run) in missing {
-            context.out.log(
-                "run",
-                &task,
-                format!("run {run} on {id}"),
-                "not listed by the minion; released",
-            );
-            self.release_run(id, &task, run);
-        }
+        self.release_runs(context, id, |key, run| {
+            is_missing(key, run).then_some(ReleaseCause::NotListed)
+        });
     }
 }
--- a/crates/fleet/src/pool/mod.rs
+++ b/crates/fleet/src/pool/mod.rs
@@ -21,10 +21,12 @@
 mod expiry;
 mod failures;
 mod finished;
+mod given_up;
 mod hold_queue;
 mod incarnation;
 mod job;
 mod job_table;
+mod lease_ends;
 mod limits;
 mod listed;
 mod load;
@@ -64,6 +66,7 @@
 use data_wait::DataWaits;
 use demand::DemandState;
 use expiry::ExpiryQueue;
+use given_up::GivenUpStarts;
 use hold_queue::HoldQueue;
 use job_table::JobTable;
 use limits::LocalAllocation;
@@ -97,7 +100,13 @@
     /// Commit of the quota allocations.
     Allocations,
     /// Lease renewal that also acknowledges finished runs up to number `last_saved_end`.
-    Hold { minion: MinionId, incarnation: u64, last_saved_end: u64 },
+    Hold {
+        minion: MinionId,
+        incarnation: u64,
+        last_saved_end: u64,
+        /// Whether the hold names an end of leases.
+        extends_leases: bool,
+    },
     /// Start of a run.
     Start { minion: MinionId, incarnation: u64, task: TaskName, run: RunNumber },
     /// Stop of a run.
@@ -156,6 +165,7 @@
     overload: OverloadState,
     pass: PassSchedule,
     minions: BTreeMap<MinionId, OwnedMinion>,
+    given_up_starts: GivenUpStarts,
     hold_queue: HoldQueue,
     /// Version of the configuration after which a placement pass was last requested.
     config_version: u64,
@@ -198,6 +208,7 @@
             overload: OverloadState::default(),
             pass: PassSchedule::default(),
             minions: BTreeMap::new(),
+            given_up_starts: GivenUpStarts::default(),
             hold_queue: HoldQueue::default(),
             config_version: 0,
             save: SaveState::default(),
@@ -279,7 +290,7 @@
     ) {
         self.note_contact(context.clock.now, &call, &answer);
         match call {
-            PoolCall::Hold { minion, incarnation, last_saved_end } => {
+            PoolCall::Hold { minion, incarnation, last_saved_end, extends_leases } => {
                 if matches!(
                     answer,
                     MinionAnswer::Held { minion_incarnation: reported, .. }
@@ -287,11 +298,14 @@
                 ) {
                     self.record_acknowledged_end(&minion, last_saved_end);
                 }
+                if extends_leases {
+                    self.note_hold_answered(context, &minion, incarnation, &answer);
+                }
                 self.on_hold_answered(context, &minion, incarnation, sent_at, answer);
             }
             PoolCall::Start { minion, incarnation, task, run } => {
-                let origin = (&minion, incarnation, sent_at);
-                self.on_start_answered(context, origin, &task, run, answer);
+                self.note_start_answered(context, &minion, incarnation, &answer);
+                self.on_start_answered(context, (&minion, incarnation), &task, run, answer);
             }
             PoolCall::Throttle { minion, task, run, percent } => {
                 self.on_throttle_answered(&minion, &task, run, percent, &answer);
@@ -338,6 +352,7 @@
         self.retry_load(context);
         self.open_due_occurrences(context);
         self.expire_leases(context);
+        self.given_up_starts.expire(context.clock.now);
         self.resend_stops(context);
         self.update_maintenance(context);
         self.update_demand(context);
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -9,6 +9,7 @@
 use super::job::task_name;
 use super::minion::{MinionRun, OwnedMinion, RunKey, RunPhase};
 use super::{PoolCall, PoolOwner, StepContext};
+use crate::event::{Measurement, ReleaseCause};
 use crate::io::{MinionCall, MinionTarget};
 use crate::timing::{MAX_HOLD_INTERVAL, MAX_HOLD_WAIT, RUN_LEASE_DURATION, STOP_RETRY_DELAY};
 
@@ -74,40 +75,51 @@
                     context.out.log("minion", &report.minion, inputs, "found");
                     let minion = OwnedMinion::new(report.clone(), last_saved_end);
                     self.minions.insert(report.minion.clone(), minion);
+                    self.bar_given_up_starts(context, &report.minion);
                 }
             }
         }
     }
 
-    /// Releases all runs of a minion on which nothing can execute any more, so that their
-    /// tasks can start elsewhere. `reason` is logged for each run.
-    pub(super) fn release_all_runs(
-        &mut self,
-        context: &mut StepContext,
-        id: &MinionId,
-        reason: &str,
-    ) {
-        self.release_runs(context, id, reason, |_| true);
+    /// Releases all runs of a minion that has begun a new incarnation, so that their tasks can start
+    /// elsewhere.
+    pub(super) fn release_all_runs(&mut self, context: &mut StepContext, id: &MinionId) {
+        self.release_runs(context, id, |_, _| Some(ReleaseCause::NewIncarnation));
         self.discount_minion_failures(context, id);
     }
 
-    /// Releases the runs of a minion for which `is_released` holds.
-    fn release_runs(
+    /// Releases the runs of a minion for which `find_cause` returns a cause, and logs each with what
+    /// determined the release.
+    pub(super) fn release_runs(
         &mut self,
         context: &mut StepContext,
         id: &MinionId,
-        reason: &str,
-        is_released: impl Fn(&MinionRun) -> bool,
+        find_cause: impl Fn(&RunKey, &MinionRun) -> Option<ReleaseCause>,
     ) {
+        let now = context.clock.now;
         let Some(minion) = self.minions.get(id) else { return };
-        let released = minion.runs.iter().filter(|(_, run)| is_released(run));
-        let runs: Vec<RunKey> = released.map(|(key, _)| key.clone()).collect();
-        for (task, run) in runs {
-            context.out.log("run", &task, format!("run {run} on {id}"), reason.to_owned());
+        let describe = |(key, run): (&RunKey, &MinionRun)| {
+            let cause = find_cause(key, run)?;
+            let inputs = format!("run {} on {id}, {}", key.1, minion.describe_run(run, now));
+            Some((key.clone(), cause, inputs))
+        };
+        let released: Vec<_> = minion.runs.iter().filter_map(describe).collect();
+        for ((task, run), cause, inputs) in released {
+            context.out.log("run", &task, inputs, cause.to_string());
+            context.out.measure(Measurement::RunReleased(cause));
+            self.remember_unanswered_start(id, &(task.clone(), run), now);
             self.release_run(id, &task, run);
         }
     }
 
+    /// Remembers the start of a run that is released although the start may still arrive.
+    fn remember_unanswered_start(&mut self, id: &MinionId, key: &RunKey, now: Moment) {
+        let run = self.minions.get(id).and_then(|minion| minion.runs.get(key));
+        if let Some(run) = run.filter(|run| run.phase.may_still_start()) {
+            self.given_up_starts.add(id, key.clone(), run.clone(), now);
+        }
+    }
+
     /// Releases the runs of minions whose leases have expired, and removes such minions if
     /// the registry no longer lists them. Unlisted minions that have not answered this owner
     /// are removed at once.
@@ -126,8 +138,17 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
-            let ends_with_leases = |run: &MinionRun| run.ends_with_leases(now);
-            self.release_runs(context, &id, "its lease has lapsed", ends_with_leases);
+            let lease_ends = self.minions[&id].lease_ends;
+            let has_expired =
+                |run: &MinionRun| now >= lease_ends.end_of(run.is_of_known_incarnation);
+            self.release_runs(context, &id, |_, run| {
+                let cause = if run.is_of_known_incarnation {
+                    ReleaseCause::LeaseExpired
+                } else {
+                    ReleaseCause::UnlistedLeaseExpired
+                };
+                has_expired(run).then_some(cause)
+            });
             self.discount_minion_failures(context, &id);
             let is_gone = |minion: &OwnedMinion| !minion.is_listed && minion.runs.is_empty();
             if self.minions.get(&id).is_some_and(is_gone) {
@@ -180,6 +201,7 @@
         let until_clock = clock.map(|clock| clock + lease.0);
         if let Some(until) = until_clock {
             minion.extend_lease(until, now);
+            minion.lease_ends.record_order(now, context.settings.max_lease_duration());
         }
         // The hold must not wait on the minion in two cases: an uncertain failure must soon
         // be confirmed or discounted, and the VM of a minion that is being drained goes
@@ -189,15 +211,17 @@
         let may_wait =
             minion.is_fenced && minion.processed_end == minion.saved_end && is_acknowledged;
         let wait = if may_wait { MAX_HOLD_WAIT } else { Millis(0) };
-        // A minion that is unfenced or unresponsive may have begun a new incarnation, which
-        // numbers its finished runs from 1 again.
+        // A new incarnation numbers its finished runs from 1 again and would drop them by this number. The
+        // number is therefore sent only once, and not to a minion that is unfenced or unresponsive.
         let is_known_incarnation = minion.is_fenced && !minion.is_unresponsive;
-        let last_saved_end = if is_known_incarnation { minion.saved_end } else { 0 };
+        let is_new_end = minion.saved_end > minion.acknowledged_end;
+        let last_saved_end = if is_known_incarnation && is_new_end { minion.saved_end } else { 0 };
         let order = MinionCall::Hold { until_clock, saved_end: last_saved_end, wait };
         let call = PoolCall::Hold {
             minion: id.clone(),
             incarnation: minion.report.minion_incarnation,
             last_saved_end,
+            extends_leases: until_clock.is_some(),
         };
         let target = minion_target(minion);
         self.mark_acknowledgement_sent(id, last_saved_end);
@@ -220,7 +244,9 @@
         minion.may_have_stops = true;
         let retry_at = now + STOP_RETRY_DELAY;
         run.phase = match run.phase {
-            RunPhase::Uncertain { .. } => RunPhase::Uncertain { retry_at },
+            RunPhase::Uncertain { .. } => {
+                RunPhase::Uncertain { stop_at: retry_at, is_stop_sent: true }
+            }
             _ => RunPhase::Stopping { retry_at },
         };
         if !context.is_ownership_valid {
