--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -26,7 +26,8 @@
     /// Folder for the settings and the logs of the daemons, and for the log of the runs.
     #[bpaf(long, argument("FOLDER"))]
     folder: PathBuf,
-    /// What happens to the daemons when restart-cut or restart-another cuts minions off: none, term or kill.
+    /// What happens to the daemons when restart-cut or restart-another cuts minions off: none,
+    /// term or kill.
     #[bpaf(long, argument("END"), fallback(OwnerEnd::None))]
     owner_end: OwnerEnd,
     /// Longest lease of a minion, in milliseconds.
--- a/crates/soak/src/run_log.rs
+++ b/crates/soak/src/run_log.rs
@@ -94,8 +94,14 @@
 
 impl fmt::Display for DoubledRun {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let is_over = self.earlier.ended.is_some_and(|ended| ended <= self.later.began);
-        let kind = if is_over { "started after done" } else { "two runs at once" };
+        let RunRecord { ended, observed, .. } = self.earlier;
+        let kind = match ended {
+            Some(ended) if ended > self.later.began => "two runs at once",
+            None => "two runs at once",
+            // `Observed` had reached the end's number before the end came, so no hold listed it.
+            Some(_) if observed == ended => "started after done, never listed",
+            Some(_) => "started after done",
+        };
         write!(f, "{kind}: {}: {}; {}", self.earlier.task, self.earlier, self.later)
     }
 }
--- a/crates/soak/src/scripts.rs
+++ b/crates/soak/src/scripts.rs
@@ -130,9 +130,9 @@
             ScriptKind::RestartCut | ScriptKind::RestartAnother => {
                 play_restart_cut(&deployment, &mut rng, settings)?;
             }
-            ScriptKind::CutSoon => play_cut_soon(&deployment, &mut rng)?,
-            ScriptKind::AnswersLostFirst => play_answers_lost_first(&deployment, &mut rng)?,
-            ScriptKind::LateOrders => play_late_orders(&deployment, &mut rng)?,
+            ScriptKind::CutSoon => play_cut_soon(&deployment, &mut rng),
+            ScriptKind::AnswersLostFirst => play_answers_lost_first(&deployment, &mut rng),
+            ScriptKind::LateOrders => play_late_orders(&deployment, &mut rng),
             ScriptKind::Soak => play_random_faults(&deployment, &mut rng, settings)?,
         }
         deployment.check_daemons()?;
@@ -177,9 +177,13 @@
 
 impl BackgroundJobs<'_, '_> {
     fn submit(&self, tasks: u32, seconds: f64) {
+        self.submit_job(build_job(tasks, seconds));
+    }
+
+    fn submit_job(&self, job: SoakJob) {
         let deployment = self.deployment;
         self.scope.spawn(move || {
-            let result = deployment.submitters.submit(build_job(tasks, seconds));
+            let result = deployment.submitters.submit(job);
             if !matches!(result, Ok(true)) {
                 deployment.log.note(format!("a job was not accepted: {result:?}"));
             }
@@ -247,7 +251,7 @@
     })
 }
 
-fn play_cut_soon(deployment: &SoakDeployment, rng: &mut StdRng) -> eyre::Result<()> {
+fn play_cut_soon(deployment: &SoakDeployment, rng: &mut StdRng) {
     const TASK_SECONDS: f64 = 11.0;
     const CUT: Duration = Duration::from_secs(11);
     let minions = choose_minions(deployment, rng, RESTARTED_MINIONS);
@@ -263,10 +267,9 @@
         set_links(&minions, LinkState::Open);
         sleep_about(rng, ROUND_PAUSE);
     });
-    Ok(())
 }
 
-fn play_answers_lost_first(deployment: &SoakDeployment, rng: &mut StdRng) -> eyre::Result<()> {
+fn play_answers_lost_first(deployment: &SoakDeployment, rng: &mut StdRng) {
     const TASK_SECONDS: f64 = 11.0;
     const CUT: Duration = Duration::from_secs(11);
     const LATER_JOBS: u32 = 8;
@@ -288,23 +291,25 @@
         set_links(&minions, LinkState::Open);
         sleep_about(rng, ROUND_PAUSE);
     });
-    Ok(())
 }
 
-fn play_late_orders(deployment: &SoakDeployment, rng: &mut StdRng) -> eyre::Result<()> {
+fn play_late_orders(deployment: &SoakDeployment, rng: &mut StdRng) {
     const JOBS: u32 = 28;
     const JOBS_BEFORE_RESTART: u32 = 25;
     const JOB_INTERVAL: Duration = Duration::from_millis(300);
     const LATE_SHARE: f64 = 0.5;
     const LATE_TIME: Duration = Duration::from_millis(5_500);
-    const TASK_SECONDS: f64 = 4.0;
+    const JOB: SoakJob = SoakJob {
+        tasks: 32,
+        work: TaskWork { duration: Duration::from_secs(4), cpu: Millicores(60) },
+    };
     const LAST_DELAY: Duration = Duration::from_secs(8);
     let minion = &choose_minions(deployment, rng, 1)[0];
     minion.delay_orders(LATE_SHARE, LATE_TIME);
     thread::scope(|scope| {
         let jobs = BackgroundJobs { scope, deployment };
         for number in 1..=JOBS {
-            jobs.submit(32, TASK_SECONDS);
+            jobs.submit_job(JOB);
             if number == JOBS_BEFORE_RESTART {
                 minion.restart();
             }
@@ -312,5 +317,4 @@
         }
         thread::sleep(LAST_DELAY);
     });
-    Ok(())
 }
