Roster: a minion whose new incarnation has not answered is in it

Cause: the roster had only minions that had answered in their current incarnation. Once an owner had learned of a new one, a roster that was written before the first answer left the minion out, though starts may execute there. The next owner did not wait for it.

Change: the roster also has a minion with runs, or with orders whose longest lease has not ended.

--- a/crates/fleet/src/pool/minion.rs
+++ b/crates/fleet/src/pool/minion.rs
@@ -282,18 +282,24 @@
         let origin = if run.is_of_known_incarnation { "known" } else { "unknown" };
         format!(
             "of {origin} incarnation, {:?}, started or answered {} ago, incarnation {} confirmed {} ago, leases \
-             ended {} ago by its clock",
+             ended {} ago",
             run.phase,
             now - run.confirmed_at,
             self.report.minion_incarnation,
             now - self.confirmed_at,
-            now - self.lease_ends.listed_end(),
+            now - self.lease_ends.end_of(run.is_of_known_incarnation),
         )
     }
 
     /// Whether every lease of the known incarnation has expired.
     pub(super) fn are_leases_expired(&self, now: Moment) -> bool {
-        now >= self.lease_ends.listed_end()
+        now >= self.lease_ends.known_end()
+    }
+
+    /// Whether the minion may execute tasks of this owner. An incarnation that has not answered yet may do
+    /// so by orders for an earlier one.
+    pub(super) fn may_execute(&self, now: Moment) -> bool {
+        self.is_fenced || !self.runs.is_empty() || now < self.lease_ends.end_of(false)
     }
 
     /// Whether the minion may have finished runs that this owner has not seen and that still count:
--- a/crates/fleet/src/pool/roster.rs
+++ b/crates/fleet/src/pool/roster.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use state::MinionId;
+use state::{MinionId, Moment};
 
 use super::PoolOwner;
 use super::minion::OwnedMinion;
@@ -16,9 +16,13 @@
 
 impl PoolOwner {
     /// Adds the roster to a commit, and returns the incarnations of its minions.
-    pub(super) fn add_roster(&mut self, commit: &mut StoreCommit) -> BTreeMap<MinionId, u64> {
+    pub(super) fn add_roster(
+        &mut self,
+        now: Moment,
+        commit: &mut StoreCommit,
+    ) -> BTreeMap<MinionId, u64> {
         self.save.is_roster_dirty = false;
-        let roster = self.build_roster();
+        let roster = self.build_roster(now);
         for (id, minion) in &mut self.minions {
             minion.is_in_roster &= roster.minions.contains_key(id);
         }
@@ -46,16 +50,16 @@
         (self.is_being_drained(minion) || !minion.is_listed) && minion.is_idle()
     }
 
-    /// Builds the roster: minions that have answered this owner and may have runs, and minions of the
-    /// stored roster that may still execute tasks of an earlier owner.
-    fn build_roster(&self) -> PoolRoster {
+    /// Builds the roster: minions that may execute tasks of this owner, and minions of the stored roster
+    /// that may still execute tasks of an earlier owner.
+    fn build_roster(&self, now: Moment) -> PoolRoster {
         self.work.add(self.minions.len());
         let mut minions: BTreeMap<MinionId, RosterRow> = self.stage.unconfirmed_minions.clone();
         if self.stage.has_resolved_unknown_runs() {
             minions.values_mut().for_each(|row| row.may_have_runs = false);
         }
         for (id, minion) in &self.minions {
-            if minion.is_fenced && !self.is_drained_for_good(minion) {
+            if minion.may_execute(now) && !self.is_drained_for_good(minion) {
                 let row = RosterRow {
                     address: minion.report.address,
                     minion_incarnation: minion.report.minion_incarnation,
--- a/crates/fleet/src/pool/save.rs
+++ b/crates/fleet/src/pool/save.rs
@@ -194,7 +194,7 @@
         let mut commit = StoreCommit::default();
         commit.expect.push((self.owner_key(), self.fencing_token));
         self.add_sequence(&mut commit, lane);
-        let roster = has_roster.then(|| self.add_roster(&mut commit));
+        let roster = has_roster.then(|| self.add_roster(now, &mut commit));
         let jobs = self.add_jobs(now, &mut commit, lane, dirty);
         let ends_through = self.save.processed_ends;
         let in_flight = InFlightSave { jobs, roster, ends_through, sent_at: now };
