New owner: long-running tasks wait for the longest lease only where another incarnation shows

Change: the roster says whether a minion had answered in its incarnation. Long-running tasks wait for the longest lease if a minion had not, or if the registry has listed a later incarnation of it; else for the lease that holds ask for. All other tasks wait as before. A minion that answers in the incarnation that its earlier owner knew has leases by that clock.

A long-running task can still run twice if its minion has begun an incarnation that neither owner nor registry knows.

--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -14,7 +14,9 @@
 pub use policy::data_wait::RemoteFactor;
 
 use crate::event::ClientTarget;
-use crate::timing::{CLOCK_ERROR_PERMILLE, MAX_WATCH_WAIT, MIN_WATCH_WAIT, STORE_TIMEOUT};
+use crate::timing::{
+    CLOCK_ERROR_PERMILLE, MAX_WATCH_WAIT, MIN_WATCH_WAIT, RUN_LEASE_DURATION, STORE_TIMEOUT,
+};
 
 /// Settings of a daemon, given at its start: its identity and the platform's bounds.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,8 +47,12 @@
     /// Returns the time after which the longest lease that a minion grants now has expired, also by a slow
     /// clock.
     pub(crate) fn max_lease_duration(&self) -> Millis {
-        let max_lease = self.max_run_lease.0;
-        Millis(max_lease + max_lease * CLOCK_ERROR_PERMILLE / 1_000)
+        with_clock_error(self.max_run_lease)
+    }
+
+    /// Returns the time after which the lease that a hold asks for now has expired, also by a slow clock.
+    pub(crate) fn hold_lease_duration(&self) -> Millis {
+        with_clock_error(self.max_run_lease.min(RUN_LEASE_DURATION))
     }
 
     /// Returns the maximum time that a watch waits for a change.
@@ -59,6 +65,11 @@
     }
 }
 
+/// Returns the time that a slow clock may take for `duration`.
+fn with_clock_error(duration: Millis) -> Millis {
+    Millis(duration.0 + duration.0 * CLOCK_ERROR_PERMILLE / 1_000)
+}
+
 /// Bandwidth of a network link, in kbit/s.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LinkRate(pub u64);
--- a/crates/fleet/src/pool/answers.rs
+++ b/crates/fleet/src/pool/answers.rs
@@ -12,7 +12,7 @@
 use super::minion::{RunKey, RunPhase};
 use super::{PoolOwner, StepContext};
 use crate::io::{EndKind, EndedRow, MinionAnswer, OrderRefusal, RunningRow};
-use crate::timing::{HOLD_RETRY_DELAY, REFUSAL_PAUSE};
+use crate::timing::{HOLD_RETRY_DELAY, REFUSAL_PAUSE, RUN_LEASE_DURATION};
 
 impl PoolOwner {
     /// Handles the answer to a start that was sent to an incarnation of a minion.
@@ -164,9 +164,14 @@
         minion.is_unresponsive = false;
         if !minion.is_fenced {
             minion.is_fenced = true;
-            // An earlier owner may have sent its last order by the clock of an earlier incarnation.
-            let max_lease = context.settings.max_lease_duration();
-            minion.lease_ends.record_earlier_order(now, max_lease);
+            let incarnation = minion.report.minion_incarnation;
+            if self.stage.may_have_unknown_leases(id, incarnation) {
+                let max_lease = context.settings.max_lease_duration();
+                minion.lease_ends.record_earlier_order(now, max_lease);
+            } else {
+                // Leases of earlier owners end at most this long after the answer.
+                minion.extend_lease(clock_ms + RUN_LEASE_DURATION.0, now);
+            }
             self.save.is_roster_dirty = true;
             if let Some(vm) = &minion.report.vm {
                 self.stage.confirm_earlier_minions(vm, minion.report.minion_incarnation);
--- a/crates/fleet/src/pool/load.rs
+++ b/crates/fleet/src/pool/load.rs
@@ -13,7 +13,7 @@
 use crate::event::CallId;
 use crate::io::{ItemValue, StoreAnswer, StoreCall, StoreEvent, StoreItem};
 use crate::key::{KeyScope, OwnKey, ShardKey, StoreKey};
-use crate::model::FleetSettings;
+use crate::model::{FleetSettings, MinionReport};
 use crate::records::{PoolRoster, ProgressRecord, RosterRow, decode};
 use crate::shared::SharedRecords;
 use crate::timing::{EARLIER_ORDER_DELAY, LOAD_STALL_TIMEOUT, READ_RETRY_DELAY, ROSTER_RETENTION};
@@ -26,6 +26,8 @@
     has_progress: bool,
     /// Whether no run of an earlier owner can still execute without being listed.
     has_resolved_unknown_runs: bool,
+    /// Whether the long-running tasks of earlier owners may start again.
+    has_resolved_long_running: bool,
     is_reading_jobs: bool,
     /// Last key of the pages that the current range read has received.
     last_read_key: Option<StoreKey>,
@@ -54,6 +56,40 @@
         self.unconfirmed_minions.values().any(|row| row.may_have_runs)
     }
 
+    /// Returns the time after which long-running tasks of earlier owners start again. If a minion has begun
+    /// an incarnation that these did not know, it may have granted the longest lease.
+    ///
+    /// A minion may begin an incarnation that nothing shows. Other tasks wait for that too; a long-running
+    /// task would be away for too long (`docs/incidents/issue-48.md`).
+    fn long_running_bound(&self, settings: &FleetSettings) -> Millis {
+        let mut rows = self.unconfirmed_minions.values().filter(|row| row.may_have_runs);
+        let lease = if rows.all(|row| row.has_answered) {
+            settings.hold_lease_duration()
+        } else {
+            settings.max_lease_duration()
+        };
+        Millis(lease.0 + EARLIER_ORDER_DELAY.0)
+    }
+
+    /// Notes the minions that are listed in an incarnation which their earlier owner did not know. It
+    /// stays noted when the registry lists them no more.
+    pub(super) fn note_incarnations(&mut self, reports: &BTreeMap<MinionId, MinionReport>) {
+        for (id, row) in &mut self.unconfirmed_minions {
+            let Some(report) = reports.get(id) else { continue };
+            if report.minion_incarnation > row.minion_incarnation {
+                row.minion_incarnation = report.minion_incarnation;
+                row.saved_end = 0;
+                row.has_answered = false;
+            }
+        }
+    }
+
+    /// Whether an incarnation of a minion may have got orders of an earlier owner that did not know it.
+    pub(super) fn may_have_unknown_leases(&self, id: &MinionId, incarnation: u64) -> bool {
+        let row = self.unconfirmed_minions.get(id);
+        row.is_some_and(|row| !row.has_answered || row.minion_incarnation != incarnation)
+    }
+
     /// Confirms the earlier minions of a VM, of which a minion with a later incarnation has answered:
     /// a VM runs one minion at a time.
     pub(super) fn confirm_earlier_minions(&mut self, vm: &VmId, incarnation: u64) {
@@ -324,6 +360,11 @@
         context.out.log("record", format!("{key:?}"), reason, "skipped");
     }
 
+    /// Whether a minion may have finished runs that this owner has not seen and that still count.
+    fn has_unseen_ends(&self, now: Moment) -> bool {
+        self.minions.values().any(|minion| minion.may_have_unseen_ends(now))
+    }
+
     /// Allows the start of tasks that an earlier owner may have started, once every minion
     /// of the roster has reported its runs or all leases of earlier owners have expired, and every
     /// minion that answers has listed all its finished runs.
@@ -332,11 +373,9 @@
     pub(super) fn resolve_unknown_runs(&mut self, context: &mut StepContext) {
         let now = context.clock.now;
         let have_leases_expired = now >= self.owned_since + earlier_lease_bound(context.settings);
-        let has_unseen_ends =
-            || self.minions.values().any(|minion| minion.may_have_unseen_ends(now));
         if !self.stage.has_resolved_unknown_runs
             && (!self.stage.awaits_minions() || have_leases_expired)
-            && !has_unseen_ends()
+            && !self.has_unseen_ends(now)
         {
             self.log_resolution(context);
             self.stage.has_resolved_unknown_runs = true;
@@ -346,6 +385,15 @@
                 job.may_have_unknown_runs = false;
             }
         }
+        if !self.stage.has_resolved_long_running
+            && now >= self.owned_since + self.stage.long_running_bound(context.settings)
+            && !self.has_unseen_ends(now)
+        {
+            self.stage.has_resolved_long_running = true;
+            for job in self.jobs.values_mut().filter(|job| job.spec.is_long_running()) {
+                job.may_have_unknown_runs = false;
+            }
+        }
         if !self.stage.unconfirmed_minions.is_empty() && now >= self.owned_since + ROSTER_RETENTION
         {
             self.stage.unconfirmed_minions.clear();
--- a/crates/fleet/src/pool/orders.rs
+++ b/crates/fleet/src/pool/orders.rs
@@ -28,6 +28,7 @@
         self.hold_queue.add_all();
         self.pass.request();
         let reports = &context.registry.reports;
+        self.stage.note_incarnations(reports);
         let belongs_to_pool = |id: &MinionId, owner: &Self| {
             reports.get(id).is_some_and(|report| report.pool == owner.pool)
         };
--- a/crates/fleet/src/pool/roster.rs
+++ b/crates/fleet/src/pool/roster.rs
@@ -66,6 +66,7 @@
                     saved_end: self.saved_end(minion),
                     vm: minion.report.vm.clone(),
                     may_have_runs: true,
+                    has_answered: minion.is_fenced,
                 };
                 minions.insert(id.clone(), row);
             }
--- a/crates/fleet/src/records.rs
+++ b/crates/fleet/src/records.rs
@@ -34,12 +34,16 @@
     #[serde(default)]
     pub vm: Option<VmId>,
     /// Whether runs that the writer of the roster did not know may still execute there.
-    #[serde(default = "RosterRow::default_may_have_runs")]
+    #[serde(default = "RosterRow::default_flag")]
     pub may_have_runs: bool,
+    /// Whether the minion had answered its owner in this incarnation, so that the owner's orders named
+    /// ends of leases by its clock.
+    #[serde(default = "RosterRow::default_flag")]
+    pub has_answered: bool,
 }
 
 impl RosterRow {
-    fn default_may_have_runs() -> bool {
+    fn default_flag() -> bool {
         true
     }
 }
--- a/crates/fleet/tests/rules/unknown_incarnations.rs
+++ b/crates/fleet/tests/rules/unknown_incarnations.rs
@@ -5,7 +5,7 @@
 use fleet::io::{EndKind, MinionCall};
 use jobs::{JobSpec, StepSpec};
 use rstest::rstest;
-use state::{JobId, Millicores, Millis};
+use state::{JobId, Millicores, Millis, MinionId};
 
 use crate::accepted_jobs::find_owner;
 use crate::replaced_minions::{
@@ -141,6 +141,35 @@
     assert_eq!(simulation.checker.violations, Vec::new());
 }
 
+/// Guards against a long-running task that is away for too long after its minion was lost with its owner,
+/// since the new owner waits for incarnations that nothing shows.
+#[rstest]
+fn long_running_task_of_a_lost_minion_is_back_in_time(#[values(1, 2, 3, 4)] seed: u64) {
+    const TASK_COUNT: u32 = 4;
+    // A task may be away for 6 s after its last run, and 3 s more.
+    const MAX_AWAY_MS: u64 = 9_000;
+    let mut simulation = build_simulation(seed, 4, MAX_LEASE);
+    let mut step = StepSpec { tasks: TASK_COUNT, long_running: true, ..StepSpec::default() };
+    step.demand.processor = Millicores(500);
+    step.max_per_minion = Some(2);
+    let spec = JobSpec { payload: "text".into(), steps: vec![step], timetable: None };
+    let team = "team-0".parse().expect("valid name");
+    let planned = PlannedJob { team, spec, queue: 0, cancel_after: None };
+    simulation.plan_job(10, job_name(), planned);
+    run_for(&mut simulation, 5_000);
+    assert_eq!(simulation.count_serving(&job_name()), TASK_COUNT);
+    simulation.faults.keeps_reports = false;
+    let is_busy = |minion: &MinionId| !simulation.minions[minion].runs.is_empty();
+    let lost = simulation.minions.keys().find(|minion| is_busy(minion)).expect("a minion").clone();
+    simulation.crash_minion(&lost);
+    run_for(&mut simulation, 300);
+    let owner = find_owner(&simulation, "pool-0");
+    simulation.stop_daemon(owner);
+    run_for(&mut simulation, MAX_AWAY_MS - 300);
+    assert_eq!(simulation.count_serving(&job_name()), TASK_COUNT);
+    assert_eq!(simulation.checker.violations, Vec::new());
+}
+
 /// Guards against a run that is counted by its own start, although a later start, which may be
 /// refused for lack of room, has lengthened its lease.
 #[rstest]
