--- a/review/stand-3/src/cases.rs
+++ b/review/stand-3/src/cases.rs
@@ -4,10 +4,12 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::deployment::{Deployment, MAX_ATTEMPTS};
+use crate::deployment::{CUTTING_QUEUE, Deployment, MAX_ATTEMPTS, PACKING_QUEUE, Queue};
 use crate::http::{Reply, serve};
 use crate::json::{int, object, text};
-use crate::world::{HEARTBEAT, How, JobWork, RunRecord, SERVICE, World, ZONE, split_task, unix_ms};
+use crate::world::{
+    CUTTING, HEARTBEAT, How, JobWork, PACKING, RunRecord, World, ZONE, split_task, unix_ms,
+};
 
 /// Time from the start of the machines to the start of the traffic.
 const LEAD: Duration = Duration::from_secs(10);
@@ -31,6 +33,7 @@
         "hopeless-gang" => hopeless_gang(folder, has_trouble),
         "clock-back" => clock_back(folder, has_trouble),
         "held-back" => held_back(folder, has_trouble),
+        "same-id" => same_id(folder, has_trouble),
         "foreign-entry" => foreign_entry(folder, has_trouble),
         _ => None,
     }
@@ -41,8 +44,13 @@
 }
 
 fn runs_of(world: &World, job: &str) -> Vec<RunRecord> {
+    runs_in(world, CUTTING, job)
+}
+
+fn runs_in(world: &World, service: &str, job: &str) -> Vec<RunRecord> {
     let state = world.state.lock().unwrap();
-    let is_of_job = |run: &&RunRecord| split_task(&run.task).is_some_and(|(known, _)| known == job);
+    let is_job = |task: &str| split_task(task).is_some_and(|(known, _)| known == job);
+    let is_of_job = |run: &&RunRecord| run.service == service && is_job(&run.task);
     state.runs.iter().filter(is_of_job).cloned().collect()
 }
 
@@ -71,7 +79,7 @@
     let world = &deployment.world;
     thread::sleep(LEAD);
     let work = JobWork { tasks: 4, gang: true, checkpoints: true, work_ms: 6_000, ..plain_work() };
-    if !deployment.submit(JOB, &work) {
+    if !deployment.submit(&CUTTING_QUEUE, JOB, &work) {
         return None;
     }
     sleep_ms(2_700);
@@ -87,7 +95,7 @@
     // The work takes 6 s, and some 5 s more if it begins anew.
     sleep_ms(12_000);
     thread::sleep(FINISH);
-    let state = deployment.state_of(JOB);
+    let state = deployment.state_of(&CUTTING_QUEUE, JOB);
     let quiet_ms = left_ms.unwrap_or(0) + 2 * CONTACT_MS;
     let runs = runs_of(world, JOB);
     let is_alone = |run: &&RunRecord| run.how == Some(How::Alone) && run.began_ms > quiet_ms;
@@ -122,13 +130,13 @@
         let id = format!("5c0e7a21d94b36{number:02x}");
         let fails = (has_trouble && id == HOPELESS).then_some((0, 300));
         let work = JobWork { tasks: 3, gang: true, fails, ..plain_work() };
-        if !deployment.submit(&id, &work) {
+        if !deployment.submit(&CUTTING_QUEUE, &id, &work) {
             return None;
         }
         sleep_ms(300);
     }
     thread::sleep(FINISH);
-    let state = deployment.state_of(HOPELESS);
+    let state = deployment.state_of(&CUTTING_QUEUE, HOPELESS);
     let mut runs = runs_of(world, HOPELESS);
     runs.retain(|run| split_task(&run.task).is_some_and(|(_, index)| index == 0));
     runs.sort_by_key(|run| run.began_ms);
@@ -161,7 +169,7 @@
     let world = &deployment.world;
     let mut lost = Vec::new();
     for job in jobs {
-        let state = deployment.state_of(job);
+        let state = deployment.state_of(&CUTTING_QUEUE, job);
         let runs = runs_of(world, job);
         let is_done = runs.iter().any(|run| run.how == Some(How::Done));
         if state != "complete" && !is_done && is_idle(world, job) {
@@ -182,13 +190,17 @@
     thread::sleep(LEAD);
     // A fourth machine joins; with the disruption its time of day is ahead by 2 s.
     let ahead = if has_trouble { 2_000 } else { 0 };
-    let minion = world.add_minion("b", ahead);
+    let minion = world.add_minion(CUTTING, "b", ahead);
     let mut jobs = Vec::new();
     let mut submit = |count: u32| -> bool {
         (0..count).all(|_| {
             let id = format!("5c0e7a21d94b37{:02x}", jobs.len());
             jobs.push(id.clone());
-            deployment.submit(&id, &JobWork { work_ms: 3_000, kind: Some("b"), ..plain_work() })
+            deployment.submit(
+                &CUTTING_QUEUE,
+                &id,
+                &JobWork { work_ms: 3_000, kind: Some("b"), ..plain_work() },
+            )
         })
     };
     if !submit(3) {
@@ -216,7 +228,7 @@
 fn foreign_entry(folder: &Path, has_trouble: bool) -> Option<Verdict> {
     let deployment = Deployment::start(folder, 7)?;
     let world = &deployment.world;
-    let minion = world.add_minion("b", 0);
+    let minion = world.add_minion(CUTTING, "b", 0);
     thread::sleep(LEAD);
     if has_trouble {
         let machine = world.state.lock().unwrap().minions[minion].machine.clone();
@@ -225,7 +237,7 @@
     sleep_ms(3_000);
     let jobs: Vec<String> = (1..=5).map(|number| format!("5c0e7a21d94b38{number:02x}")).collect();
     for id in &jobs {
-        if !deployment.submit(id, &JobWork { kind: Some("b"), ..plain_work() }) {
+        if !deployment.submit(&CUTTING_QUEUE, id, &JobWork { kind: Some("b"), ..plain_work() }) {
             return None;
         }
         sleep_ms(300);
@@ -249,7 +261,7 @@
     thread::spawn(move || {
         for sequence in 1.. {
             let entry = object(vec![
-                ("Service", text(SERVICE)),
+                ("Service", text(CUTTING)),
                 ("Address", text(address.to_string())),
                 ("Zone", text(ZONE)),
                 ("State", text("ready")),
@@ -271,9 +283,13 @@
     const LASTING: &str = "5c0e7a21d94b3900";
     let deployment = Deployment::start(folder, 7)?;
     let world = &deployment.world;
-    world.add_minion("b", 0);
+    world.add_minion(CUTTING, "b", 0);
     thread::sleep(LEAD);
-    if !deployment.submit(LASTING, &JobWork { kind: Some("b"), lasts: true, ..plain_work() }) {
+    if !deployment.submit(
+        &CUTTING_QUEUE,
+        LASTING,
+        &JobWork { kind: Some("b"), lasts: true, ..plain_work() },
+    ) {
         return None;
     }
     sleep_ms(1_000);
@@ -284,7 +300,7 @@
         let kind = (number % 10 == 0).then_some("b");
         let is_hopeless = has_trouble && matches!(number, 10 | 20);
         let fails = is_hopeless.then_some((0, 200));
-        if !deployment.submit(&id, &JobWork { kind, fails, ..plain_work() }) {
+        if !deployment.submit(&CUTTING_QUEUE, &id, &JobWork { kind, fails, ..plain_work() }) {
             return None;
         }
         if !is_hopeless {
@@ -296,3 +312,52 @@
     let findings = find_lost_jobs(&deployment, &jobs);
     verdict(&deployment, !findings.is_empty(), findings)
 }
+
+/// Two tenants hand in their jobs on queues of their own, and number them alike.
+fn same_id(folder: &Path, has_trouble: bool) -> Option<Verdict> {
+    let deployment = Deployment::start(folder, 4)?;
+    let world = &deployment.world;
+    for _ in 0..4 {
+        world.add_minion(PACKING, "a", 0);
+    }
+    thread::sleep(LEAD);
+    let id = |number: u64| format!("{number:016x}");
+    // Without the disruption the second tenant's numbers are others.
+    let other_id = |number: u64| id(if has_trouble { number } else { number + 1_000 });
+    // The first three jobs are short; the fourth is still at work when the second tenant cancels its own.
+    let work =
+        |number: u64| JobWork { work_ms: if number == 4 { 20_000 } else { 1_000 }, ..plain_work() };
+    let submit = |queue: &Queue, id: &str, number: u64| deployment.submit(queue, id, &work(number));
+    if !(1..=4).all(|number| submit(&CUTTING_QUEUE, &id(number), number)) {
+        return None;
+    }
+    sleep_ms(4_000);
+    if !(1..=4).all(|number| submit(&PACKING_QUEUE, &other_id(number), number)) {
+        return None;
+    }
+    sleep_ms(2_000);
+    if !deployment.cancel(&PACKING_QUEUE, &other_id(4)) {
+        return None;
+    }
+    thread::sleep(Duration::from_secs(10));
+    thread::sleep(FINISH);
+    let mut findings = Vec::new();
+    for number in 1..=3 {
+        let id = other_id(number);
+        let state = deployment.state_of(&PACKING_QUEUE, &id);
+        if runs_in(world, PACKING, &id).is_empty() {
+            findings.push(format!(
+                "LOST: job {}{id} was accepted, and its task was never started; it is shown as {state}",
+                PACKING_QUEUE.prefix
+            ));
+        }
+    }
+    let state = deployment.state_of(&CUTTING_QUEUE, &id(4));
+    if state == "canceled" {
+        let (prefix, id) = (CUTTING_QUEUE.prefix, id(4));
+        findings.push(format!(
+            "LOST: job {prefix}{id} is shown as canceled, and nobody has cancelled it"
+        ));
+    }
+    verdict(&deployment, !findings.is_empty(), findings)
+}
--- a/review/stand-3/src/deployment.rs
+++ b/review/stand-3/src/deployment.rs
@@ -13,11 +13,34 @@
 use crate::http::{Reply, call, loopback, serve};
 use crate::json::{Json, int, object, text};
 use crate::store::Store;
-use crate::world::{HOLD_MAX_MS, JobWork, SERVICE, World, ZONE};
+use crate::world::{CUTTING, HOLD_MAX_MS, JobWork, PACKING, World, ZONE, job_key};
 
-pub const HOST: &str = "pule25.example";
-pub const PREFIX: &str = "/puxa400/";
-pub const KEY: &str = "sjnbanfqasnmgkcuyj8p";
+const HOST: &str = "pule25.example";
+
+/// Queue, with the tenant that uses it.
+pub struct Queue {
+    route: &'static str,
+    pub prefix: &'static str,
+    pub service: &'static str,
+    pub tenant: &'static str,
+    key: &'static str,
+}
+
+pub const CUTTING_QUEUE: Queue = Queue {
+    route: "r-iikdrbn",
+    prefix: "/puxa400/",
+    service: CUTTING,
+    tenant: "cugo130",
+    key: "sjnbanfqasnmgkcuyj8p",
+};
+pub const PACKING_QUEUE: Queue = Queue {
+    route: "r-f83fgfw",
+    prefix: "/defi252/",
+    service: PACKING,
+    tenant: "bamo77",
+    key: "jbvk9m68k7b2ex5wa5xw",
+};
+const QUEUES: [&Queue; 2] = [&CUTTING_QUEUE, &PACKING_QUEUE];
 pub const MAX_ATTEMPTS: i64 = 3;
 const DEADLINE: Duration = Duration::from_millis(3_000);
 
@@ -47,46 +70,44 @@
 }
 
 fn configuration() -> Json {
+    let routes = QUEUES.map(|queue| {
+        object(vec![
+            ("Name", text(queue.route)),
+            ("Host", text(HOST)),
+            ("Prefix", text(queue.prefix)),
+            ("Kind", text("non_idempotent")),
+            ("TimeoutMs", int(3_000)),
+            ("TargetLatencyMs", int(600)),
+            ("Priority", int(0)),
+            ("Service", text(queue.service)),
+            ("MaxAttempts", int(MAX_ATTEMPTS)),
+            ("Stretch", Json::Float(1.6)),
+            ("Public", Json::Bool(false)),
+        ])
+    });
+    let services = QUEUES.map(|queue| {
+        object(vec![
+            ("Name", text(queue.service)),
+            ("HealthPath", text("/healthz")),
+            ("MaxConns", int(64)),
+            ("RejectsOverload", Json::Bool(true)),
+            ("Spare", Json::Bool(false)),
+        ])
+    });
+    let tenants = QUEUES.map(|queue| {
+        let maximum = vec![("Cpu", int(711_133)), ("MemMb", int(2_049_638)), ("Gpu", int(0))];
+        object(vec![
+            ("Name", text(queue.tenant)),
+            ("ApiKeys", Json::List(vec![text(queue.key)])),
+            ("Weight", int(49)),
+            ("Maximum", object(maximum)),
+        ])
+    });
     object(vec![
         ("Version", int(7)),
-        (
-            "Routes",
-            Json::List(vec![object(vec![
-                ("Name", text("r-iikdrbn")),
-                ("Host", text(HOST)),
-                ("Prefix", text(PREFIX)),
-                ("Kind", text("non_idempotent")),
-                ("TimeoutMs", int(3_000)),
-                ("TargetLatencyMs", int(600)),
-                ("Priority", int(0)),
-                ("Service", text(SERVICE)),
-                ("MaxAttempts", int(MAX_ATTEMPTS)),
-                ("Stretch", Json::Float(1.6)),
-                ("Public", Json::Bool(false)),
-            ])]),
-        ),
-        (
-            "Services",
-            Json::List(vec![object(vec![
-                ("Name", text(SERVICE)),
-                ("HealthPath", text("/healthz")),
-                ("MaxConns", int(64)),
-                ("RejectsOverload", Json::Bool(true)),
-                ("Spare", Json::Bool(false)),
-            ])]),
-        ),
-        (
-            "Tenants",
-            Json::List(vec![object(vec![
-                ("Name", text("cugo130")),
-                ("ApiKeys", Json::List(vec![text(KEY)])),
-                ("Weight", int(49)),
-                (
-                    "Maximum",
-                    object(vec![("Cpu", int(711_133)), ("MemMb", int(2_049_638)), ("Gpu", int(0))]),
-                ),
-            ])]),
-        ),
+        ("Routes", Json::List(routes.into())),
+        ("Services", Json::List(services.into())),
+        ("Tenants", Json::List(tenants.into())),
     ])
 }
 
@@ -140,7 +161,7 @@
         let world = World::start(&store);
         store.write("op/config", &configuration());
         for _ in 0..minions {
-            world.add_minion("a", 0);
+            world.add_minion(CUTTING, "a", 0);
         }
         let serving = Arc::clone(&store);
         let store_address = serve(move |request| serving.handle(request));
@@ -165,8 +186,9 @@
     }
 
     /// Hands a job in, at one daemon after the other, until it is accepted.
-    pub fn submit(&self, id: &str, work: &JobWork) -> bool {
-        self.world.state.lock().unwrap().jobs.insert(id.to_owned(), work.clone());
+    pub fn submit(&self, queue: &Queue, id: &str, work: &JobWork) -> bool {
+        let key = job_key(queue.service, id);
+        self.world.state.lock().unwrap().jobs.insert(key, work.clone());
         let mut step = vec![
             ("Count", int(work.tasks)),
             ("Cpu", int(work.cpu)),
@@ -186,15 +208,18 @@
             step.push(("Checkpointing", Json::Bool(true)));
         }
         let body = object(vec![
-            ("Spec", text(format!("work of {id}"))),
+            ("Spec", text(format!("work of {}{id}", queue.prefix))),
             ("Steps", Json::List(vec![object(step)])),
         ]);
         let body = body.to_string();
         for attempt in 0..5 {
             let daemon = &self.daemons[attempt % self.daemons.len()];
-            let answer = self.ask(daemon, "POST", id, Some(&body));
+            let answer = self.ask(daemon, queue, "POST", id, Some(&body));
             let status = answer.map(|(status, _)| status);
-            self.world.note(format!("client: POST {id} at {}: {status:?}, {body}", daemon.name));
+            self.world.note(format!(
+                "client of {}: POST {}{id} at {}: {status:?}, {body}",
+                queue.tenant, queue.prefix, daemon.name
+            ));
             match status {
                 Some(200..=299) => return true,
                 Some(429 | 503) => thread::sleep(Duration::from_secs(1)),
@@ -207,25 +232,42 @@
     fn ask(
         &self,
         daemon: &Daemon,
+        queue: &Queue,
         method: &str,
         id: &str,
         body: Option<&str>,
     ) -> Option<(u16, String)> {
-        let headers = [("Host", HOST), ("Key", KEY), ("Deadline-Ms", "3000")];
-        call(daemon.frontend, method, &format!("{PREFIX}{id}"), &headers, body, DEADLINE)
+        let headers = [("Host", HOST), ("Key", queue.key), ("Deadline-Ms", "3000")];
+        call(daemon.frontend, method, &format!("{}{id}", queue.prefix), &headers, body, DEADLINE)
     }
 
-    /// Asks each daemon in turn for a job's state, until one answers.
-    pub fn state_of(&self, id: &str) -> String {
+    /// Sends a request without a body to each daemon in turn, until one answers.
+    fn ask_in_turn(&self, queue: &Queue, method: &str, id: &str) -> Option<(u16, String)> {
         for daemon in &self.daemons {
-            let Some((status, body)) = self.ask(daemon, "GET", id, None) else { continue };
-            self.world.note(format!("client: GET {id} at {}: {status} {body}", daemon.name));
-            if let Some(state) = Json::parse(&body).as_ref().and_then(|body| body.text("State")) {
-                return state.to_owned();
-            }
-            return status.to_string();
+            let Some((status, body)) = self.ask(daemon, queue, method, id, None) else { continue };
+            let path = format!("{}{id}", queue.prefix);
+            let asker = queue.tenant;
+            self.world.note(format!(
+                "client of {asker}: {method} {path} at {}: {status} {body}",
+                daemon.name
+            ));
+            return Some((status, body));
         }
-        "no answer".to_owned()
+        None
+    }
+
+    /// Asks for a job's state.
+    pub fn state_of(&self, queue: &Queue, id: &str) -> String {
+        let Some((status, body)) = self.ask_in_turn(queue, "GET", id) else {
+            return "no answer".to_owned();
+        };
+        let state = Json::parse(&body).and_then(|body| body.text("State").map(str::to_owned));
+        state.unwrap_or(status.to_string())
+    }
+
+    /// Cancels a job.
+    pub fn cancel(&self, queue: &Queue, id: &str) -> bool {
+        self.ask_in_turn(queue, "DELETE", id).is_some_and(|(status, _)| status == 200)
     }
 }
 
--- a/review/stand-3/src/world.rs
+++ b/review/stand-3/src/world.rs
@@ -12,7 +12,9 @@
 use crate::json::{Json, int, object, text};
 use crate::store::Store;
 
-pub const SERVICE: &str = "cutting";
+/// Service of most cases.
+pub const CUTTING: &str = "cutting";
+pub const PACKING: &str = "packing";
 pub const ZONE: &str = "oss";
 pub const CAPACITY_CPU: i64 = 16_000;
 pub const CAPACITY_MEM: i64 = 65_536;
@@ -67,6 +69,7 @@
 /// One run of a task, as the minions saw it.
 #[derive(Clone)]
 pub struct RunRecord {
+    pub service: &'static str,
     pub task: String,
     pub run: i64,
     pub minion: usize,
@@ -105,6 +108,7 @@
 pub struct Minion {
     pub id: String,
     pub machine: String,
+    service: &'static str,
     kind: &'static str,
     rack: String,
     address: Option<SocketAddr>,
@@ -136,6 +140,7 @@
 #[derive(Default)]
 pub struct State {
     pub minions: Vec<Minion>,
+    /// Jobs by service and id ([`job_key`]).
     pub jobs: BTreeMap<String, JobWork>,
     pub runs: Vec<RunRecord>,
     lines: Vec<(u64, String)>,
@@ -152,6 +157,11 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as i64)
 }
 
+/// Names a job of the queue of a service: clients of two queues may choose one id.
+pub fn job_key(service: &str, id: &str) -> String {
+    format!("{service}/{id}")
+}
+
 /// Splits the name of a task into its job and its index.
 pub fn split_task(task: &str) -> Option<(&str, u32)> {
     let mut parts = task.split('.');
@@ -202,13 +212,19 @@
     }
 
     /// Starts a minion on a new machine. Its time of day is ahead by `ahead_ms`.
-    pub fn add_minion(self: &Arc<Self>, kind: &'static str, ahead_ms: i64) -> usize {
+    pub fn add_minion(
+        self: &Arc<Self>,
+        service: &'static str,
+        kind: &'static str,
+        ahead_ms: i64,
+    ) -> usize {
         let mut state = self.state.lock().unwrap();
         let number = state.minions.len();
         let now = Instant::now();
         state.minions.push(Minion {
             id: format!("i-{:08x}", 0x7f3a_9100 + number),
             machine: format!("m-{number:05x}"),
+            service,
             kind,
             rack: format!("r1-{}", number / RACK_SIZE + 1),
             address: None,
@@ -329,7 +345,7 @@
             minion.sequence += 1;
             minion.is_listed = true;
             let mut fields = vec![
-                ("Service", text(SERVICE)),
+                ("Service", text(minion.service)),
                 ("Address", text(address.to_string())),
                 ("Zone", text(ZONE)),
                 ("Version", text("v1")),
@@ -359,7 +375,7 @@
         let rows = state.minions.iter().map(|minion| {
             object(vec![
                 ("Machine", text(&*minion.machine)),
-                ("Pool", text(SERVICE)),
+                ("Pool", text(minion.service)),
                 ("State", text(if minion.is_up { "up" } else { "down" })),
                 ("Zone", text(ZONE)),
                 ("Labels", Json::List(vec![text(minion.kind), text(&*minion.rack)])),
@@ -614,7 +630,8 @@
         if minion.highest.get(task).is_some_and(|highest| run <= *highest) {
             return Err("old");
         }
-        let Some(work) = jobs.get(job) else {
+        let key = job_key(minion.service, job);
+        let Some(work) = jobs.get(&key) else {
             lines.push((at, format!("{}: told to start {task}, which no client sent", minion.id)));
             return Err("body");
         };
@@ -627,6 +644,7 @@
             return Err("room");
         }
         runs.push(RunRecord {
+            service: minion.service,
             task: task.to_owned(),
             run,
             minion: number,
@@ -644,7 +662,7 @@
         minion.running.push(Run {
             task: task.to_owned(),
             run,
-            job: job.to_owned(),
+            job: key,
             index,
             base_ms: u64::from_str_radix(&checkpoint, 16).unwrap_or(0),
             saved: checkpoint.clone(),
