--- a/review/stand-3/src/cases.rs
+++ b/review/stand-3/src/cases.rs
@@ -75,7 +75,7 @@
 /// A minion that runs one member of a gang drains and leaves.
 fn drained_gang(folder: &Path, has_trouble: bool) -> Option<Verdict> {
     const JOB: &str = "5c0e7a21d94b3601";
-    let deployment = Deployment::start(folder, 8)?;
+    let deployment = Deployment::start(folder, 16)?;
     let world = &deployment.world;
     thread::sleep(LEAD);
     let work = JobWork { tasks: 4, gang: true, checkpoints: true, work_ms: 6_000, ..plain_work() };
@@ -185,10 +185,10 @@
 /// The time of day of a machine is ahead when its minion starts, and jumps back before the minion crashes
 /// and starts again.
 fn clock_back(folder: &Path, has_trouble: bool) -> Option<Verdict> {
-    let deployment = Deployment::start(folder, 3)?;
+    let deployment = Deployment::start(folder, 7)?;
     let world = &deployment.world;
     thread::sleep(LEAD);
-    // A fourth machine joins; with the disruption its time of day is ahead by 2 s.
+    // An eighth machine joins; with the disruption its time of day is ahead by 2 s.
     let ahead = if has_trouble { 2_000 } else { 0 };
     let minion = world.add_minion(CUTTING, "b", ahead);
     let mut jobs = Vec::new();
